--- a/controller/internal/forward/forward.go
+++ b/controller/internal/forward/forward.go
@@ -18,15 +18,22 @@
 // ErrNoLeader tells that the command was certainly not executed.
 var ErrNoLeader = merry.Sentinel("no leader is known; nothing was executed")
 
+// Proposer proposes commands at the own replica and knows who leads.
+type Proposer interface {
+	Propose(ctx context.Context, command state.Command) (state.Result, error)
+	LeaderAddress() string
+	IsLeader() bool
+}
+
 // Forwarder executes commands here or at the leader.
 type Forwarder struct {
-	replica    *replica.Replica
+	replica    Proposer
 	credential *credential.Credential
 	http       *http.Client
 }
 
 // New returns a forwarder.
-func New(r *replica.Replica, c *credential.Credential) *Forwarder {
+func New(r Proposer, c *credential.Credential) *Forwarder {
 	return &Forwarder{
 		replica:    r,
 		credential: c,
--- /dev/null
+++ b/controller/internal/gateway/hub.go
@@ -0,0 +1,421 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"baobabpaddle/controller/internal/replica"
+	"baobabpaddle/fleet/configuration"
+	"baobabpaddle/fleet/credential"
+	"baobabpaddle/fleet/dispatch"
+	"baobabpaddle/fleet/link"
+	"baobabpaddle/fleet/state"
+	"baobabpaddle/fleet/wire"
+)
+
+const (
+	// eventQueue is how many frames may wait for the control goroutine.
+	eventQueue = 4096
+	// leadInterval is how often the lead is checked.
+	leadInterval = 100 * time.Millisecond
+	// welcomeTimeout bounds the confirmation that this controller leads.
+	welcomeTimeout = time.Second
+)
+
+// Replicas gives the own replica, or nil, and knows who leads.
+type Replicas interface {
+	Replica() *replica.Replica
+	IsLeader() bool
+	LeaderAddress() string
+}
+
+// Directory knows the addresses of all controllers.
+type Directory interface {
+	Addresses() []string
+}
+
+// conn is the link to one gateway.
+type conn struct {
+	*link.Conn[wire.Serve]
+	name    string
+	version uint64 // of the configuration that it was told last
+}
+
+// event is what happened, for the control goroutine; one of the fields is set.
+type event struct {
+	opened    *conn
+	closed    *conn
+	from      *conn
+	frame     wire.Serve
+	upstreams []dispatch.Upstream
+	confirmed []ping
+	changed   bool
+}
+
+type ping struct {
+	conn     *conn
+	sequence uint64
+}
+
+// Hub owns the placing of requests while this controller leads.
+type Hub struct {
+	replicas  Replicas
+	directory Directory
+	log       *slog.Logger
+
+	events chan event
+	pings  chan ping
+	linked atomic.Int64
+
+	// What follows belongs to the control goroutine.
+	core      *dispatch.Core
+	conns     map[string]*conn
+	document  state.Replace
+	upstreams []dispatch.Upstream
+	replies   map[*conn][]dispatch.Decision
+}
+
+// New returns a hub without links.
+func New(replicas Replicas, directory Directory, log *slog.Logger) *Hub {
+	h := &Hub{
+		replicas:  replicas,
+		directory: directory,
+		log:       log,
+		events:    make(chan event, eventQueue),
+		pings:     make(chan ping, eventQueue),
+	}
+	h.reset()
+	return h
+}
+
+// reset forgets everything, for a new term as leader.
+func (h *Hub) reset() {
+	h.core = dispatch.New(dispatch.Settings{}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	h.conns = make(map[string]*conn)
+	h.replies = make(map[*conn][]dispatch.Decision)
+	h.document = state.Replace{}
+	h.upstreams = nil
+}
+
+// Gateways returns how many gateways are linked.
+func (h *Hub) Gateways() int { return int(h.linked.Load()) }
+
+// Run is the control goroutine; it ends with the context.
+func (h *Hub) Run(ctx context.Context) {
+	go h.confirm(ctx)
+	go h.watch(ctx)
+	ticker := time.NewTicker(leadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			h.closeAll()
+			return
+		case e := <-h.events:
+			h.handle(e)
+			h.drain()
+		case <-ticker.C:
+			if len(h.conns) > 0 && !h.replicas.IsLeader() {
+				h.log.Info("no longer leading, gateways are sent away", "gateways", len(h.conns))
+				h.closeAll()
+				h.reset()
+			}
+		}
+	}
+}
+
+// drain takes what else waits, so that decisions share frames.
+func (h *Hub) drain() {
+	for {
+		select {
+		case e := <-h.events:
+			h.handle(e)
+		default:
+			for c, decisions := range h.replies {
+				h.send(c, wire.Serve{
+					Decisions: decisions,
+				})
+				delete(h.replies, c)
+			}
+			return
+		}
+	}
+}
+
+func (h *Hub) closeAll() {
+	for _, c := range h.conns {
+		c.Close()
+	}
+}
+
+func (h *Hub) handle(e event) {
+	switch {
+	case e.opened != nil:
+		h.open(e.opened)
+	case e.closed != nil:
+		h.close(e.closed)
+	case e.from != nil:
+		h.receive(e.from, e.frame)
+	case e.upstreams != nil:
+		h.setUpstreams(e.upstreams)
+	case e.confirmed != nil:
+		h.refresh()
+		for _, p := range e.confirmed {
+			h.send(p.conn, wire.Serve{
+				Pong: p.sequence,
+			})
+		}
+	case e.changed:
+		h.refresh()
+	}
+}
+
+func (h *Hub) open(c *conn) {
+	if old := h.conns[c.name]; old != nil {
+		old.Close()
+	}
+	h.conns[c.name] = c
+	h.linked.Store(int64(len(h.conns)))
+	h.refresh()
+	frame := wire.Serve{
+		Welcome: &wire.Welcome{
+			Leads:       true,
+			Controllers: h.directory.Addresses(),
+		},
+	}
+	if h.upstreams != nil {
+		frame.Upstreams = &wire.Upstreams{
+			List: h.upstreams,
+		}
+	}
+	h.send(c, frame)
+	h.tell(c)
+	h.tellGateways()
+	h.log.Info("gateway linked", "gateway", c.name, "version", c.version)
+}
+
+func (h *Hub) close(c *conn) {
+	if h.conns[c.name] != c {
+		return
+	}
+	delete(h.conns, c.name)
+	delete(h.replies, c)
+	h.linked.Store(int64(len(h.conns)))
+	h.core.LoseGateway(c.name)
+	h.tellGateways()
+	h.log.Info("gateway link lost", "gateway", c.name)
+}
+
+// tellGateways tells all gateways how many they are.
+func (h *Hub) tellGateways() {
+	for _, c := range h.conns {
+		h.send(c, wire.Serve{
+			Gateways: len(h.conns),
+		})
+	}
+}
+
+func (h *Hub) send(c *conn, frame wire.Serve) {
+	// A failed send closes the link; its receiver reports that.
+	_ = c.Send(frame)
+}
+
+func (h *Hub) receive(c *conn, frame wire.Serve) {
+	now := time.Now()
+	key := dispatch.Key{
+		Gateway: c.name,
+	}
+	for _, s := range frame.Sent {
+		h.core.Sent(c.name, s.ID, s.Upstream, s.Prompt, s.Begun)
+	}
+	for _, id := range frame.Begun {
+		key.ID = id
+		h.core.Begun(now, key)
+	}
+	for _, e := range frame.Ended {
+		key.ID = e.ID
+		h.core.Ended(now, key, e.Ending)
+	}
+	for _, r := range frame.Places {
+		h.replies[c] = append(h.replies[c], h.core.Place(now, c.name, r))
+	}
+	if frame.Ping != 0 {
+		select {
+		case h.pings <- ping{
+			conn:     c,
+			sequence: frame.Ping,
+		}:
+		default: // pinged again within a second
+		}
+	}
+}
+
+func (h *Hub) setUpstreams(list []dispatch.Upstream) {
+	if h.upstreams != nil && slices.Equal(list, h.upstreams) {
+		return
+	}
+	h.upstreams = list
+	h.core.SetUpstreams(list)
+	for _, c := range h.conns {
+		h.send(c, wire.Serve{
+			Upstreams: &wire.Upstreams{
+				List: list,
+			},
+		})
+	}
+}
+
+// refresh puts the replica's configuration in force and tells the gateways.
+func (h *Hub) refresh() {
+	r := h.replicas.Replica()
+	if r == nil {
+		return
+	}
+	var newest state.Replace
+	r.View(func(s *state.State) { newest = s.Configuration })
+	if newest.Version > h.document.Version {
+		parsed, err := configuration.Parse(newest.Document)
+		if err != nil {
+			// It was checked before it was accepted, by the same code.
+			h.log.Error("accepted configuration not understood", "version", newest.Version, "cause", err)
+			return
+		}
+		h.document = newest
+		h.core.SetConfiguration(configuration.NewTable(parsed))
+		h.log.Info("configuration in force", "version", newest.Version)
+	}
+	for _, c := range h.conns {
+		h.tell(c)
+	}
+}
+
+// tell sends a gateway the configuration if it has an older one.
+func (h *Hub) tell(c *conn) {
+	if c.version >= h.document.Version {
+		return
+	}
+	c.version = h.document.Version
+	document := h.document
+	h.send(c, wire.Serve{
+		Configuration: &document,
+	})
+}
+
+// confirm answers pings, all that wait with one confirmed read.
+func (h *Hub) confirm(ctx context.Context) {
+	for {
+		var waiting []ping
+		select {
+		case <-ctx.Done():
+			return
+		case p := <-h.pings:
+			waiting = append(waiting, p)
+		}
+		for len(h.pings) > 0 {
+			waiting = append(waiting, <-h.pings)
+		}
+		r := h.replicas.Replica()
+		if r == nil || r.Barrier(ctx) != nil {
+			continue // the gateways' proofs run out unless a later ping is confirmed
+		}
+		h.post(ctx, event{
+			confirmed: waiting,
+		})
+	}
+}
+
+// watch reports changes of the configuration.
+func (h *Hub) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		r := h.replicas.Replica()
+		if r == nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(leadInterval):
+			}
+			continue
+		}
+		changed := r.Changed()
+		h.post(ctx, event{
+			changed: true,
+		})
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(time.Second): // the replica may have been replaced
+		}
+	}
+}
+
+func (h *Hub) post(ctx context.Context, e event) {
+	select {
+	case h.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+// SetUpstreams takes the platform's list.
+func (h *Hub) SetUpstreams(ctx context.Context, list []dispatch.Upstream) {
+	h.post(ctx, event{
+		upstreams: list,
+	})
+}
+
+// Handler accepts the links of gateways. A controller that does not lead tells
+// who does.
+func (h *Hub) Handler(ctx context.Context, dialer link.Dialer) http.Handler {
+	return link.Handler(ctx, dialer, func(_ credential.Peer, l *link.Conn[wire.Serve]) {
+		frame, err := l.Receive()
+		if err != nil || frame.Hello == nil {
+			return
+		}
+		if !h.confirmLead(ctx) {
+			_ = l.Send(wire.Serve{
+				Welcome: &wire.Welcome{
+					Leader:      h.replicas.LeaderAddress(),
+					Controllers: h.directory.Addresses(),
+				},
+			})
+			// The gateway closes the link; the read ends then or with the link.
+			_, _ = l.Receive()
+			return
+		}
+		c := &conn{
+			Conn:    l,
+			name:    frame.Hello.Name,
+			version: frame.Hello.Version,
+		}
+		h.post(ctx, event{
+			opened: c,
+		})
+		for {
+			frame, err := l.Receive()
+			if err != nil {
+				break
+			}
+			h.post(ctx, event{
+				from:  c,
+				frame: frame,
+			})
+		}
+		h.post(ctx, event{
+			closed: c,
+		})
+	})
+}
+
+// confirmLead reports whether this controller leads and a majority agrees.
+func (h *Hub) confirmLead(ctx context.Context) bool {
+	r := h.replicas.Replica()
+	if r == nil || !r.IsLeader() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, welcomeTimeout)
+	defer cancel()
+	return r.Barrier(ctx) == nil && r.IsLeader()
+}
--- a/controller/internal/node/unary.go
+++ b/controller/internal/node/unary.go
@@ -111,3 +111,14 @@
 	reply.Claim = data
 	return reply, nil
 }
+
+// Hello implements rpc.Controller. These controllers know each other from their
+// settings.
+func (u *Unary) Hello(context.Context, *rpc.HelloRequest) (*rpc.HelloReply, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "members are changed by operators")
+}
+
+// Join implements rpc.Controller.
+func (u *Unary) Join(context.Context, *rpc.JoinRequest) (*rpc.JoinReply, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "members are changed by operators")
+}
--- /dev/null
+++ b/controller/internal/operator/configuration.go
@@ -0,0 +1,162 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"baobabpaddle/controller/internal/replica"
+	"baobabpaddle/fleet/configuration"
+	"baobabpaddle/fleet/membership"
+	"baobabpaddle/fleet/problem"
+	"baobabpaddle/fleet/state"
+)
+
+// Limits and timings of the calls about whole configurations.
+const (
+	maxConfigurationBytes = 8 << 20
+	// replaceTimeout ends before operators turn to another controller.
+	replaceTimeout = 900 * time.Millisecond
+	configureRetry = 300 * time.Millisecond
+)
+
+// Replicas gives the own replica, or nil, and knows who leads.
+type Replicas interface {
+	Replica() *replica.Replica
+	LeaderAddress() string
+}
+
+// Directory knows the other controllers.
+type Directory interface {
+	Group() membership.Group
+	OperatorAddress(address string) string
+	DiskControllers() int
+}
+
+// Configurations serves whole configurations to operators.
+type Configurations struct {
+	replicas  Replicas
+	execute   Executor
+	directory Directory
+	tolerated int
+}
+
+// NewConfigurations returns the calls. Nothing is accepted before there are
+// enough voters to lose the tolerated number of hosts.
+func NewConfigurations(replicas Replicas, execute Executor, directory Directory, tolerated int) *Configurations {
+	return &Configurations{
+		replicas:  replicas,
+		execute:   execute,
+		directory: directory,
+		tolerated: tolerated,
+	}
+}
+
+// Handler returns the routes.
+func (c *Configurations) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/configuration", c.put)
+	mux.HandleFunc("GET /v1/configuration", c.get)
+	return mux
+}
+
+func unavailable(w http.ResponseWriter, detail string) {
+	p := problem.New(http.StatusServiceUnavailable, problem.NoQuorum, detail)
+	p.RetryAfter = configureRetry
+	p.Write(w)
+}
+
+// elsewhere sends the operator to a controller that holds a replica.
+func (c *Configurations) elsewhere(w http.ResponseWriter, r *http.Request) {
+	group := c.directory.Group()
+	targets := []string{group.Leader}
+	for _, m := range group.Members.List {
+		targets = append(targets, m.Address)
+	}
+	for _, target := range targets {
+		if address := c.directory.OperatorAddress(target); address != "" {
+			http.Redirect(w, r, "http://"+address+r.URL.Path, http.StatusTemporaryRedirect)
+			return
+		}
+	}
+	unavailable(w, "no controller with a replica is known")
+}
+
+func (c *Configurations) put(w http.ResponseWriter, r *http.Request) {
+	replica := c.replicas.Replica()
+	if replica == nil {
+		c.elsewhere(w, r)
+		return
+	}
+	document, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxConfigurationBytes))
+	if err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			problem.New(http.StatusRequestEntityTooLarge, problem.BodyTooLarge, "the configuration is too large").Write(w)
+			return
+		}
+		problem.New(http.StatusBadRequest, problem.BodyTruncated, "the body ended early").Write(w)
+		return
+	}
+	parsed, err := configuration.Parse(document)
+	if err != nil {
+		problem.New(http.StatusBadRequest, problem.InvalidResource, err.Error()).Write(w)
+		return
+	}
+	if !c.enoughVoters(replica) {
+		unavailable(w, "the controllers are still gathering")
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), replaceTimeout)
+	defer cancel()
+	result, err := c.execute.Execute(ctx, state.Command{
+		Replace: &state.Replace{
+			Version:  parsed.Version,
+			Document: document,
+		},
+	}, 0)
+	if err != nil {
+		writeUncertain(w, err)
+		return
+	}
+	if result.Code != state.CodeOK {
+		writeResult(w, result)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// enoughVoters reports whether the first configuration would outlive the loss of
+// the tolerated hosts. Later ones are accepted whenever there is a quorum.
+func (c *Configurations) enoughVoters(r *replica.Replica) bool {
+	have := false
+	r.View(func(s *state.State) { have = s.Configuration.Version > 0 })
+	if have {
+		return true
+	}
+	committed := r.Status().Committed
+	return committed.Voters() >= min(2*c.tolerated+1, c.directory.DiskControllers())
+}
+
+func (c *Configurations) get(w http.ResponseWriter, r *http.Request) {
+	replica := c.replicas.Replica()
+	if replica == nil {
+		c.elsewhere(w, r)
+		return
+	}
+	if err := replica.Barrier(r.Context()); err != nil {
+		unavailable(w, err.Error())
+		return
+	}
+	var newest state.Replace
+	replica.View(func(s *state.State) { newest = s.Configuration })
+	if newest.Version == 0 {
+		unavailable(w, "there is no configuration yet")
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The operator may be gone; there is nobody left to tell.
+	_, _ = w.Write(newest.Document)
+}
--- /dev/null
+++ b/controller/internal/peer/greet.go
@@ -0,0 +1,208 @@
+package peer
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"baobabpaddle/fleet/controller/rpc"
+	"baobabpaddle/fleet/credential"
+	"baobabpaddle/fleet/membership"
+	"baobabpaddle/fleet/raft"
+	"baobabpaddle/fleet/state"
+)
+
+// greetTimeout bounds one greeting, so that a silent controller is asked again
+// within a second.
+const greetTimeout = 800 * time.Millisecond
+
+// Peers keeps the acquaintance with the other controllers.
+type Peers struct {
+	credential *credential.Credential
+	http       *http.Client
+	log        *slog.Logger
+
+	mu   sync.Mutex
+	core *membership.Core
+	busy map[string]bool // addresses with a greeting under way
+}
+
+// NewPeers returns the acquaintance of a controller that starts now.
+func NewPeers(self membership.Controller, seeds []string, c *credential.Credential, log *slog.Logger) *Peers {
+	return &Peers{
+		credential: c,
+		http:       c.Client(),
+		log:        log,
+		core:       membership.New(self, seeds, time.Now()),
+		busy:       make(map[string]bool),
+	}
+}
+
+// Run greets the others until the context ends.
+func (p *Peers) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.mu.Lock()
+		now := time.Now()
+		for _, address := range p.core.Due(now) {
+			if !p.busy[address] {
+				p.busy[address] = true
+				go p.greet(ctx, address)
+			}
+		}
+		wait := p.core.Deadline().Sub(now)
+		p.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (p *Peers) greet(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
+	defer cancel()
+	reply, err := p.client(address).Hello(ctx, helloRequest(p.Greeting()))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.busy, address)
+	if err != nil {
+		return // greeted again when it is due
+	}
+	greeting, err := greetingOf(reply)
+	if err != nil {
+		p.log.Warn("greeting not understood", "peer", address, "cause", err)
+		return
+	}
+	p.core.Hear(time.Now(), greeting)
+}
+
+func (p *Peers) client(address string) rpc.Controller {
+	return rpc.NewControllerProtobufClient(p.credential.Scheme()+"://"+address, p.http)
+}
+
+// Greeting returns what this controller tells others.
+func (p *Peers) Greeting() membership.Greeting {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.Greeting()
+}
+
+// view calls f with the core.
+func (p *Peers) view(f func(*membership.Core)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(p.core)
+}
+
+// SetSeeds replaces the seed addresses.
+func (p *Peers) SetSeeds(seeds []string) {
+	p.view(func(c *membership.Core) { c.SetSeeds(seeds) })
+}
+
+// Group returns what is known of the replicated group.
+func (p *Peers) Group() membership.Group {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.Group()
+}
+
+// OperatorAddress returns where operators reach the controller at an address.
+func (p *Peers) OperatorAddress(address string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.OperatorAddress(address)
+}
+
+// Addresses returns the addresses of all known controllers, members first.
+func (p *Peers) Addresses() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.Addresses()
+}
+
+// DiskControllers returns how many controllers with a disk are known.
+func (p *Peers) DiskControllers() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.DiskControllers()
+}
+
+func infoOf(c membership.Controller) *rpc.ControllerInfo {
+	return &rpc.ControllerInfo{
+		Address:         c.Address,
+		OperatorAddress: c.OperatorAddress,
+		Disk:            c.Disk,
+		FirstStart:      c.FirstStart,
+		ReplicaId:       c.ReplicaID,
+	}
+}
+
+func controllerOf(i *rpc.ControllerInfo) membership.Controller {
+	return membership.Controller{
+		Address:         i.GetAddress(),
+		OperatorAddress: i.GetOperatorAddress(),
+		Disk:            i.GetDisk(),
+		FirstStart:      i.GetFirstStart(),
+		ReplicaID:       i.GetReplicaId(),
+	}
+}
+
+func infosOf(list []membership.Controller) []*rpc.ControllerInfo {
+	out := make([]*rpc.ControllerInfo, len(list))
+	for i, c := range list {
+		out[i] = infoOf(c)
+	}
+	return out
+}
+
+func controllersOf(list []*rpc.ControllerInfo) []membership.Controller {
+	out := make([]membership.Controller, len(list))
+	for i, info := range list {
+		out[i] = controllerOf(info)
+	}
+	return out
+}
+
+// helloRequest leaves the group out: the one that is greeted need not believe it.
+func helloRequest(g membership.Greeting) *rpc.HelloRequest {
+	return &rpc.HelloRequest{
+		Self:  infoOf(g.Self),
+		Known: infosOf(g.Known),
+	}
+}
+
+func helloReply(g membership.Greeting) (*rpc.HelloReply, error) {
+	members, err := state.Encode(g.Group.Members)
+	if err != nil {
+		return nil, err
+	}
+	return &rpc.HelloReply{
+		Self:         infoOf(g.Self),
+		Known:        infosOf(g.Known),
+		Founder:      g.Founder,
+		Members:      members,
+		MembersIndex: g.Group.Index,
+		Leader:       g.Group.Leader,
+	}, nil
+}
+
+func greetingOf(r *rpc.HelloReply) (membership.Greeting, error) {
+	var members raft.Members
+	if err := state.Decode(r.GetMembers(), &members); err != nil {
+		return membership.Greeting{}, merry.Prepend(err, "members")
+	}
+	return membership.Greeting{
+		Self:    controllerOf(r.GetSelf()),
+		Known:   controllersOf(r.GetKnown()),
+		Founder: r.GetFounder(),
+		Group: membership.Group{
+			Members: members,
+			Index:   r.GetMembersIndex(),
+			Leader:  r.GetLeader(),
+		},
+	}, nil
+}
--- /dev/null
+++ b/controller/internal/peer/member.go
@@ -0,0 +1,250 @@
+package peer
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"baobabpaddle/controller/internal/replica"
+	"baobabpaddle/fleet/disk"
+	"baobabpaddle/fleet/link"
+	"baobabpaddle/fleet/membership"
+	"baobabpaddle/fleet/problem"
+	"baobabpaddle/fleet/raft"
+	"baobabpaddle/fleet/state"
+)
+
+// Timings and sizes of a Member.
+const (
+	// retryInterval is the pause before a disk that failed is opened again, and
+	// between two looks for a place in the group.
+	retryInterval = 200 * time.Millisecond
+	diskIDBytes   = 16
+	// replicaIDBits keeps identifiers positive in any encoding.
+	replicaIDBits = 48
+)
+
+// ErrNoReplica tells that this controller holds no replica now.
+var ErrNoReplica = merry.Sentinel("this controller holds no replica")
+
+// Member runs the replica of a controller with a disk, and stands for none
+// where there is no disk.
+type Member struct {
+	folder   string // empty without a disk
+	settings replica.Settings
+	peers    *Peers
+	dialer   link.Dialer
+	log      *slog.Logger
+
+	current atomic.Pointer[replica.Replica]
+}
+
+// NewMember returns a member whose data folder is folder, or one without a disk
+// when folder is empty.
+func NewMember(folder string, settings replica.Settings, peers *Peers, dialer link.Dialer, log *slog.Logger) *Member {
+	return &Member{
+		folder:   folder,
+		settings: settings,
+		peers:    peers,
+		dialer:   dialer,
+		log:      log,
+	}
+}
+
+// Run keeps the replica running until the context ends. A disk that fails stops
+// the replica, which is started anew from what is durable.
+func (m *Member) Run(ctx context.Context) {
+	if m.folder == "" {
+		<-ctx.Done()
+		return
+	}
+	for ctx.Err() == nil {
+		if err := m.run(ctx); err != nil && ctx.Err() == nil {
+			m.log.Warn("replica stopped", "cause", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryInterval):
+		}
+	}
+}
+
+func (m *Member) run(ctx context.Context) error {
+	store, restored, err := disk.Open(m.folder)
+	if errors.Is(err, disk.ErrNoIdentity) {
+		return m.begin()
+	}
+	if err != nil {
+		return err
+	}
+	defer store.Close()
+	id := store.Identity.ReplicaID
+	r, err := replica.New(m.settings, store, restored, m.dialer, m.log)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	removed := make(chan struct{})
+	go m.accompany(ctx, r, id, func() {
+		close(removed)
+		cancel()
+	})
+	m.current.Store(r)
+	m.log.Info("replica started", "replica", id, "last_index", restored.Snapshot.Index+uint64(len(restored.Entries)))
+	err = r.Run(ctx)
+	m.current.Store(nil)
+	select {
+	case <-removed:
+		m.log.Info("replica was removed from the group, its data is erased", "replica", id)
+		m.peers.view(func(c *membership.Core) { c.SetReplica(0) })
+		return disk.Erase(m.folder)
+	default:
+		return err
+	}
+}
+
+// begin prepares an empty data folder once it is known what for.
+func (m *Member) begin() error {
+	step := membership.Wait
+	self := ""
+	m.peers.view(func(c *membership.Core) {
+		c.SetReplica(0)
+		step = c.Next()
+		self = c.Greeting().Self.Address
+	})
+	if step == membership.Wait {
+		return nil
+	}
+	identity, err := newIdentity()
+	if err != nil {
+		return err
+	}
+	if step == membership.Found {
+		identity.Members = &raft.Members{
+			List: []raft.Member{
+				{
+					ID:      identity.ReplicaID,
+					Address: self,
+					Voter:   true,
+				},
+			},
+		}
+	}
+	m.log.Info("data folder prepared", "replica", identity.ReplicaID, "founds", step == membership.Found)
+	return disk.Init(m.folder, identity)
+}
+
+func newIdentity() (disk.Identity, error) {
+	var b [diskIDBytes + 8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return disk.Identity{}, merry.Prepend(err, "identity")
+	}
+	return disk.Identity{
+		ReplicaID: 1 + binary.BigEndian.Uint64(b[diskIDBytes:])>>(64-replicaIDBits),
+		DiskID:    hex.EncodeToString(b[:diskIDBytes]),
+	}, nil
+}
+
+// accompany tells the peers what the replica knows, has it join the group if it
+// is no member, and reports when it was removed.
+func (m *Member) accompany(ctx context.Context, r *replica.Replica, id uint64, removed func()) {
+	ticker := time.NewTicker(retryInterval)
+	defer ticker.Stop()
+	m.peers.view(func(c *membership.Core) { c.SetReplica(id) })
+	for {
+		status := r.Status()
+		var group membership.Group
+		gone := false
+		m.peers.view(func(c *membership.Core) {
+			if len(status.Committed.List) > 0 {
+				c.SetGroup(membership.Group{
+					Members: status.Committed,
+					Index:   status.CommittedIndex,
+					Leader:  r.LeaderAddress(),
+				})
+			}
+			group = c.Group()
+			gone = c.Removed()
+		})
+		if gone {
+			removed()
+			return
+		}
+		if _, member := group.Members.Find(id); !member && len(group.Members.List) > 0 {
+			m.join(ctx, id, group)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// join asks the leader, or whoever may know it, to add the replica.
+func (m *Member) join(ctx context.Context, id uint64, group membership.Group) {
+	targets := []string{group.Leader}
+	if group.Leader == "" {
+		targets = nil
+		for _, member := range group.Members.List {
+			targets = append(targets, member.Address)
+		}
+	}
+	self := m.peers.Greeting().Self.Address
+	for _, target := range targets {
+		ctx, cancel := context.WithTimeout(ctx, greetTimeout)
+		reply, err := m.peers.client(target).Join(ctx, joinRequest(id, self))
+		cancel()
+		if err == nil && reply.GetJoined() {
+			return
+		}
+	}
+}
+
+// Replica returns the running replica, or nil.
+func (m *Member) Replica() *replica.Replica { return m.current.Load() }
+
+// Propose has a command committed by the own replica, if that leads.
+func (m *Member) Propose(ctx context.Context, command state.Command) (state.Result, error) {
+	if r := m.current.Load(); r != nil {
+		return r.Propose(ctx, command)
+	}
+	return state.Result{}, replica.ErrNotLeader
+}
+
+// IsLeader reports whether the own replica leads.
+func (m *Member) IsLeader() bool {
+	r := m.current.Load()
+	return r != nil && r.IsLeader()
+}
+
+// LeaderAddress returns the leader's address, or "" when none is known.
+func (m *Member) LeaderAddress() string {
+	if r := m.current.Load(); r != nil {
+		if address := r.LeaderAddress(); address != "" {
+			return address
+		}
+	}
+	return m.peers.Group().Leader
+}
+
+// Handler accepts the links of other replicas.
+func (m *Member) Handler(ctx context.Context, dialer link.Dialer) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		r := m.current.Load()
+		if r == nil {
+			problem.New(http.StatusServiceUnavailable, problem.NotReady, ErrNoReplica.Error()).Write(w)
+			return
+		}
+		r.Handler(ctx, dialer).ServeHTTP(w, request)
+	})
+}
--- /dev/null
+++ b/controller/internal/peer/unary.go
@@ -0,0 +1,119 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"baobabpaddle/fleet/controller/rpc"
+	"baobabpaddle/fleet/membership"
+	"baobabpaddle/fleet/raft"
+	"baobabpaddle/fleet/state"
+)
+
+// maxHops is how often a command may be forwarded.
+const maxHops = 2
+
+// Executor has a command executed, here or at the leader.
+type Executor interface {
+	Execute(ctx context.Context, command state.Command, hops uint32) (state.Result, error)
+}
+
+// Unary serves the calls of other controllers.
+type Unary struct {
+	member   *Member
+	executor Executor
+}
+
+// NewUnary returns the calls of a controller.
+func NewUnary(member *Member, executor Executor) *Unary {
+	return &Unary{
+		member:   member,
+		executor: executor,
+	}
+}
+
+func joinRequest(id uint64, address string) *rpc.JoinRequest {
+	return &rpc.JoinRequest{
+		ReplicaId: id,
+		Address:   address,
+	}
+}
+
+// Execute implements rpc.Controller.
+func (u *Unary) Execute(ctx context.Context, request *rpc.ExecuteRequest) (*rpc.ExecuteReply, error) {
+	var command state.Command
+	if err := state.Decode(request.GetCommand(), &command); err != nil {
+		return nil, twirp.InvalidArgumentError("command", err.Error())
+	}
+	if request.GetHops() > maxHops {
+		return nil, twirp.NewError(twirp.Unavailable, "forwarded too often")
+	}
+	result, err := u.executor.Execute(ctx, command, request.GetHops())
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	data, err := state.Encode(result)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &rpc.ExecuteReply{
+		Result: data,
+	}, nil
+}
+
+// Hello implements rpc.Controller.
+func (u *Unary) Hello(_ context.Context, request *rpc.HelloRequest) (*rpc.HelloReply, error) {
+	peers := u.member.peers
+	peers.view(func(c *membership.Core) {
+		c.Hear(time.Now(), membership.Greeting{
+			Self:  controllerOf(request.GetSelf()),
+			Known: controllersOf(request.GetKnown()),
+		})
+	})
+	reply, err := helloReply(peers.Greeting())
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return reply, nil
+}
+
+// Join implements rpc.Controller. A member that had the same address before has
+// lost its disk, so it is removed first.
+func (u *Unary) Join(ctx context.Context, request *rpc.JoinRequest) (*rpc.JoinReply, error) {
+	reply := &rpc.JoinReply{
+		Leader: u.member.LeaderAddress(),
+	}
+	r := u.member.Replica()
+	if r == nil || !r.IsLeader() {
+		return reply, nil
+	}
+	id, address := request.GetReplicaId(), request.GetAddress()
+	status := r.Status()
+	if _, ok := status.Members.Find(id); ok {
+		reply.Joined = true
+		return reply, nil
+	}
+	change := func(m raft.Members) (raft.Members, error) { return m.WithLearner(id, address) }
+	for _, m := range status.Members.List {
+		if m.Address == address {
+			change = func(present raft.Members) (raft.Members, error) { return present.Without(m.ID) }
+		}
+	}
+	if err := r.ChangeMembers(ctx, change); err != nil {
+		// Another change is under way, or leadership was lost: asked again.
+		u.member.log.Info("replica not added yet", "replica", id, "address", address, "cause", err)
+	}
+	return reply, nil
+}
+
+// LookupTeam implements rpc.Controller. Teams are part of the configuration here.
+func (u *Unary) LookupTeam(context.Context, *rpc.LookupTeamRequest) (*rpc.LookupTeamReply, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "teams are part of the configuration")
+}
+
+// GetClaim implements rpc.Controller. There are no claims here.
+func (u *Unary) GetClaim(context.Context, *rpc.GetClaimRequest) (*rpc.GetClaimReply, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "there are no claims")
+}
--- a/controller/internal/replica/apply.go
+++ b/controller/internal/replica/apply.go
@@ -22,7 +22,7 @@
 			return err
 		}
 	}
-	if r.applied-r.snapAt >= r.settings.SnapshotEvery {
+	if r.applied-r.snapAt >= r.settings.SnapshotEvery || r.logTooLarge() {
 		if err := r.compact(); err != nil {
 			return err
 		}
@@ -131,6 +131,7 @@
 	var result state.Result
 	r.mu.Lock()
 	before := r.state.Revision
+	version := r.state.Configuration.Version
 	if e.Kind == raft.EntryCommand {
 		var command state.Command
 		if err := state.Decode(e.Data, &command); err != nil {
@@ -140,7 +141,7 @@
 		result = r.state.Apply(e.Index, command)
 	}
 	r.applied = e.Index
-	if r.state.Revision != before {
+	if r.state.Revision != before || r.state.Configuration.Version != version {
 		r.wake()
 	}
 	id := r.store.Identity
@@ -198,6 +199,11 @@
 	r.confirm = kept
 }
 
+// logTooLarge reports whether a snapshot would make the log smaller than it may be.
+func (r *Replica) logTooLarge() bool {
+	return r.settings.MaxLogBytes > 0 && r.store.LogBytes() > r.settings.MaxLogBytes && r.applied > r.snapAt
+}
+
 // compact writes a snapshot of what is applied and drops the log before it.
 func (r *Replica) compact() error {
 	r.mu.RLock()
--- a/controller/internal/replica/replica.go
+++ b/controller/internal/replica/replica.go
@@ -42,6 +42,9 @@
 	Raft raft.Settings
 	// SnapshotEvery is after how many entries the log is compacted.
 	SnapshotEvery uint64
+	// MaxLogBytes is the size beyond which the log is compacted before that; zero
+	// is no bound.
+	MaxLogBytes int64
 	// NoGroups makes every proposal wait for its own sync, as a baseline.
 	NoGroups bool
 }
@@ -57,6 +60,10 @@
 	LogBytes  int64        `json:"log_bytes"`
 	Revision  uint64       `json:"revision"`
 	Members   raft.Members `json:"members"`
+	// Committed is the newest committed membership, and CommittedIndex the place
+	// in the log up to which it is known.
+	Committed      raft.Members `json:"-"`
+	CommittedIndex uint64       `json:"-"`
 }
 
 type outcome struct {
@@ -281,6 +288,7 @@
 	r.mu.RLock()
 	revision := r.state.Revision
 	r.mu.RUnlock()
+	committed, index := r.core.CommittedMembers()
 	r.status.Store(&Status{
 		ReplicaID: r.store.Identity.ReplicaID,
 		Role:      r.core.Role().String(),
@@ -291,6 +299,9 @@
 		LogBytes:  r.store.LogBytes(),
 		Revision:  revision,
 		Members:   r.core.Members(),
+
+		Committed:      committed,
+		CommittedIndex: index,
 	})
 }
 
--- a/controller/main.go
+++ b/controller/main.go
@@ -21,6 +21,7 @@
 type commandLine struct {
 	Version       program.VersionFlag                       `help:"Print the version."`
 	Run           runCommand                                `cmd:"" help:"Run the controller."`
+	Serve         serveCommand                              `cmd:"" help:"Run a controller that finds the others by itself."`
 	Init          initCommand                               `cmd:"" help:"Prepare an empty data folder."`
 	Restore       restoreCommand                            `cmd:"" help:"Prepare an empty data folder from a backup."`
 	CheckSettings program.CheckCommand[Settings, *Settings] `cmd:"" help:"Check a settings file."`
--- /dev/null
+++ b/controller/serve_settings.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"baobabpaddle/fleet/credential"
+	"baobabpaddle/fleet/settings"
+)
+
+// ServeSettings are the settings of a controller that finds the others by itself.
+type ServeSettings struct {
+	// Name is the controller's name in logs.
+	Name string `json:"name"`
+	// Zone is the availability zone.
+	Zone string `json:"zone"`
+	// Address is the IP address of the host.
+	Address string `json:"address"`
+	// Port is where the fleet's processes reach controllers, on all hosts.
+	Port int `json:"port"`
+	// OperatorListen is the address for operators.
+	OperatorListen string `json:"operator_listen"`
+	// AdminListen is the loopback address for metrics and health; empty means none.
+	AdminListen string `json:"admin_listen,omitempty"`
+	// DataFolder holds everything that must survive; empty on hosts without a disk.
+	DataFolder string `json:"data_folder,omitempty"`
+	// Seeds are addresses for operators of some controllers.
+	Seeds []string `json:"seeds"`
+	// FirstStart tells that the whole fleet starts for the first time.
+	FirstStart bool `json:"first_start,omitempty"`
+	// ToleratedHosts is how many hosts with a disk may be lost at once.
+	ToleratedHosts int `json:"tolerated_hosts"`
+	// MemoryMB bounds the memory of the process; zero is no bound.
+	MemoryMB int `json:"memory_mb,omitempty"`
+	// ListAddress is where the platform lists upstreams.
+	ListAddress string `json:"list_address"`
+	// Credential proves the controller to others.
+	Credential credential.Settings `json:"credential"`
+}
+
+// Limits of the settings.
+const (
+	maxPort           = 65535
+	maxToleratedHosts = 3
+	maxMemoryMB       = 1 << 20
+)
+
+// Check implements settings.Checker.
+func (s *ServeSettings) Check() error {
+	if _, err := netip.ParseAddr(s.Address); err != nil {
+		return merry.Errorf("address: %q is no IP address", s.Address)
+	}
+	return settings.FirstError(
+		settings.NotEmpty("name", s.Name),
+		settings.Between("port", s.Port, 1, maxPort),
+		settings.Address("operator_listen", s.OperatorListen),
+		settings.OptionalLoopback("admin_listen", s.AdminListen),
+		settings.Addresses("seeds", s.Seeds),
+		settings.Between("tolerated_hosts", s.ToleratedHosts, 0, maxToleratedHosts),
+		settings.Between("memory_mb", s.MemoryMB, 0, maxMemoryMB),
+		settings.Address("list_address", s.ListAddress),
+		s.Credential.Check(),
+	)
+}
+
+// listen returns the own address for the fleet's processes.
+func (s *ServeSettings) listen() string { return s.Address + ":" + strconv.Itoa(s.Port) }
+
+// peers returns the seeds' addresses for the fleet's processes.
+func (s *ServeSettings) peers() []string {
+	out := make([]string, len(s.Seeds))
+	for i, seed := range s.Seeds {
+		out[i] = netip.MustParseAddrPort(seed).Addr().String() + ":" + strconv.Itoa(s.Port)
+	}
+	return out
+}
+
+// Timings of a controller that serves. They are shorter than the defaults, since
+// gateways stop serving keys a few seconds after the last proof that their
+// configuration is the newest.
+const (
+	serveElectionTimeout   = 600 * time.Millisecond
+	serveHeartbeatInterval = 100 * time.Millisecond
+	serveReplaceAfter      = 2500 * time.Millisecond
+	serveLinkHeartbeat     = 300 * time.Millisecond
+	serveDialTimeout       = time.Second
+	serveMaxBackoff        = 300 * time.Millisecond
+	// serveMaxVoters is the largest number of voting controllers.
+	serveMaxVoters = 7
+	// serveMaxLogBytes keeps the log and two snapshots well within small disks.
+	serveMaxLogBytes = 8 << 20
+	// listInterval is how often the leader reads the platform's list.
+	listInterval = 700 * time.Millisecond
+)
--- a/fleet/controller/rpc/controller.twirp.go
+++ b/fleet/controller/rpc/controller.twirp.go
@@ -44,6 +44,12 @@
 
 	// GetClaim returns what is recorded of a non-idempotent request.
 	GetClaim(context.Context, *GetClaimRequest) (*GetClaimReply, error)
+
+	// Hello tells a controller of another one and returns what it knows.
+	Hello(context.Context, *HelloRequest) (*HelloReply, error)
+
+	// Join adds a replica that has an empty disk. Only the leader can.
+	Join(context.Context, *JoinRequest) (*JoinReply, error)
 }
 
 // ==========================
@@ -52,7 +58,7 @@
 
 type controllerProtobufClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [5]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -80,10 +86,12 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "baobabpaddle.rpc", "Controller")
-	urls := [3]string{
+	urls := [5]string{
 		serviceURL + "Execute",
 		serviceURL + "LookupTeam",
 		serviceURL + "GetClaim",
+		serviceURL + "Hello",
+		serviceURL + "Join",
 	}
 
 	return &controllerProtobufClient{
@@ -232,13 +240,105 @@
 	return out, nil
 }
 
+func (c *controllerProtobufClient) Hello(ctx context.Context, in *HelloRequest) (*HelloReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "baobabpaddle.rpc")
+	ctx = ctxsetters.WithServiceName(ctx, "Controller")
+	ctx = ctxsetters.WithMethodName(ctx, "Hello")
+	caller := c.callHello
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *HelloRequest) (*HelloReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*HelloRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*HelloRequest) when calling interceptor")
+					}
+					return c.callHello(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*HelloReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*HelloReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controllerProtobufClient) callHello(ctx context.Context, in *HelloRequest) (*HelloReply, error) {
+	out := new(HelloReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *controllerProtobufClient) Join(ctx context.Context, in *JoinRequest) (*JoinReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "baobabpaddle.rpc")
+	ctx = ctxsetters.WithServiceName(ctx, "Controller")
+	ctx = ctxsetters.WithMethodName(ctx, "Join")
+	caller := c.callJoin
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *JoinRequest) (*JoinReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*JoinRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*JoinRequest) when calling interceptor")
+					}
+					return c.callJoin(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JoinReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JoinReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controllerProtobufClient) callJoin(ctx context.Context, in *JoinRequest) (*JoinReply, error) {
+	out := new(JoinReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ======================
 // Controller JSON Client
 // ======================
 
 type controllerJSONClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [5]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -266,10 +366,12 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "baobabpaddle.rpc", "Controller")
-	urls := [3]string{
+	urls := [5]string{
 		serviceURL + "Execute",
 		serviceURL + "LookupTeam",
 		serviceURL + "GetClaim",
+		serviceURL + "Hello",
+		serviceURL + "Join",
 	}
 
 	return &controllerJSONClient{
@@ -418,6 +520,98 @@
 	return out, nil
 }
 
+func (c *controllerJSONClient) Hello(ctx context.Context, in *HelloRequest) (*HelloReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "baobabpaddle.rpc")
+	ctx = ctxsetters.WithServiceName(ctx, "Controller")
+	ctx = ctxsetters.WithMethodName(ctx, "Hello")
+	caller := c.callHello
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *HelloRequest) (*HelloReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*HelloRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*HelloRequest) when calling interceptor")
+					}
+					return c.callHello(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*HelloReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*HelloReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controllerJSONClient) callHello(ctx context.Context, in *HelloRequest) (*HelloReply, error) {
+	out := new(HelloReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *controllerJSONClient) Join(ctx context.Context, in *JoinRequest) (*JoinReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "baobabpaddle.rpc")
+	ctx = ctxsetters.WithServiceName(ctx, "Controller")
+	ctx = ctxsetters.WithMethodName(ctx, "Join")
+	caller := c.callJoin
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *JoinRequest) (*JoinReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*JoinRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*JoinRequest) when calling interceptor")
+					}
+					return c.callJoin(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JoinReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JoinReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controllerJSONClient) callJoin(ctx context.Context, in *JoinRequest) (*JoinReply, error) {
+	out := new(JoinReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // =========================
 // Controller Server Handler
 // =========================
@@ -524,6 +718,12 @@
 	case "GetClaim":
 		s.serveGetClaim(ctx, resp, req)
 		return
+	case "Hello":
+		s.serveHello(ctx, resp, req)
+		return
+	case "Join":
+		s.serveJoin(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -1071,6 +1271,366 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *controllerServer) serveHello(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveHelloJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveHelloProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *controllerServer) serveHelloJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Hello")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(HelloRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Controller.Hello
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *HelloRequest) (*HelloReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*HelloRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*HelloRequest) when calling interceptor")
+					}
+					return s.Controller.Hello(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*HelloReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*HelloReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *HelloReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *HelloReply and nil error while calling Hello. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controllerServer) serveHelloProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Hello")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(HelloRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Controller.Hello
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *HelloRequest) (*HelloReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*HelloRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*HelloRequest) when calling interceptor")
+					}
+					return s.Controller.Hello(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*HelloReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*HelloReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *HelloReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *HelloReply and nil error while calling Hello. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controllerServer) serveJoin(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveJoinJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveJoinProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *controllerServer) serveJoinJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Join")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(JoinRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Controller.Join
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *JoinRequest) (*JoinReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*JoinRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*JoinRequest) when calling interceptor")
+					}
+					return s.Controller.Join(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JoinReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JoinReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *JoinReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *JoinReply and nil error while calling Join. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controllerServer) serveJoinProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Join")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(JoinRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Controller.Join
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *JoinRequest) (*JoinReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*JoinRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*JoinRequest) when calling interceptor")
+					}
+					return s.Controller.Join(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JoinReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JoinReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *JoinReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *JoinReply and nil error while calling Join. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *controllerServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -1652,29 +2212,46 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 372 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x92, 0xcb, 0x6f, 0x9b, 0x40,
-	0x10, 0xc6, 0x45, 0xfd, 0xc2, 0x53, 0x5c, 0xbb, 0x2b, 0xab, 0xa2, 0x1c, 0x5a, 0x8c, 0xa5, 0xca,
-	0x27, 0x2c, 0xb5, 0xc7, 0x4a, 0x3d, 0xd4, 0xaa, 0x1a, 0x29, 0x51, 0x0e, 0x2b, 0x9f, 0x72, 0xb1,
-	0x16, 0x3c, 0x16, 0x88, 0x85, 0xdd, 0x2c, 0x10, 0x85, 0xbf, 0x3e, 0x11, 0x0f, 0xe3, 0x57, 0xe2,
-	0xdb, 0x7c, 0xf0, 0xdb, 0xfd, 0x66, 0xe6, 0x5b, 0x98, 0xf8, 0x22, 0xc9, 0x94, 0xe0, 0x1c, 0x95,
-	0x2b, 0x95, 0xc8, 0x04, 0x99, 0x78, 0x4c, 0x78, 0xcc, 0x93, 0x6c, 0xbb, 0xe5, 0xe8, 0x2a, 0xe9,
-	0x3b, 0x7f, 0xe0, 0xd3, 0xbf, 0x67, 0xf4, 0xf3, 0x0c, 0x29, 0x3e, 0xe6, 0x98, 0x66, 0xc4, 0x84,
-	0x81, 0x2f, 0xe2, 0x98, 0x25, 0x5b, 0x53, 0xb3, 0xb5, 0x85, 0x41, 0xf7, 0x92, 0x10, 0xe8, 0x06,
-	0x42, 0xa6, 0xe6, 0x07, 0x5b, 0x5b, 0x8c, 0x68, 0x55, 0x3b, 0x3f, 0xc0, 0x68, 0xcf, 0x4b, 0x5e,
-	0x90, 0x2f, 0xd0, 0x57, 0x98, 0xe6, 0x3c, 0x6b, 0x0e, 0x37, 0xca, 0x41, 0xf8, 0x7c, 0x27, 0x44,
-	0x94, 0xcb, 0x35, 0xb2, 0x78, 0x6f, 0xf5, 0x15, 0xf4, 0x08, 0x8b, 0x4d, 0xc0, 0xd2, 0xa0, 0xc2,
-	0x87, 0x74, 0x10, 0x61, 0x71, 0xc3, 0xd2, 0xa0, 0xf4, 0x4a, 0x58, 0x8c, 0x95, 0xd7, 0x90, 0x56,
-	0x35, 0x99, 0x81, 0x11, 0x87, 0xc9, 0x46, 0xe1, 0x53, 0x98, 0x86, 0x22, 0x31, 0x3b, 0xb6, 0xb6,
-	0xe8, 0xd2, 0x8f, 0x71, 0x98, 0xd0, 0xe6, 0x93, 0xb3, 0x81, 0xf1, 0xb1, 0x4d, 0xd9, 0xd1, 0x14,
-	0x7a, 0x3b, 0x91, 0x37, 0xd3, 0xe8, 0xb4, 0x16, 0xc4, 0x02, 0x5d, 0x61, 0x2a, 0x72, 0xe5, 0xd7,
-	0x1e, 0x06, 0x6d, 0x75, 0xfd, 0xef, 0xc4, 0xa3, 0xd5, 0xce, 0x1c, 0xc6, 0xff, 0x31, 0x5b, 0x71,
-	0x16, 0xb6, 0x53, 0x4c, 0xa0, 0x13, 0x61, 0xd1, 0x0c, 0x50, 0x96, 0xce, 0x6f, 0x18, 0x1d, 0xa0,
-	0xf7, 0x7b, 0x98, 0x42, 0xcf, 0x2f, 0x99, 0xa6, 0x81, 0x5a, 0xfc, 0x7c, 0xd1, 0x00, 0x56, 0x6d,
-	0x70, 0xe4, 0x16, 0x06, 0xcd, 0x82, 0x89, 0xed, 0x9e, 0xc7, 0xe7, 0x9e, 0x66, 0x67, 0x7d, 0xbb,
-	0x42, 0x94, 0x7d, 0xac, 0x01, 0x0e, 0xeb, 0x21, 0xf3, 0x4b, 0xfa, 0x22, 0x23, 0x6b, 0x76, 0x1d,
-	0x2a, 0x6f, 0xbd, 0x07, 0x7d, 0x3f, 0x2e, 0x79, 0x03, 0x3f, 0xdb, 0x97, 0xf5, 0xfd, 0x1a, 0x22,
-	0x79, 0xf1, 0x77, 0xfe, 0x30, 0x3b, 0x26, 0x96, 0x3b, 0x8e, 0x98, 0x2d, 0x0f, 0x8f, 0x79, 0xa9,
-	0xa4, 0xef, 0xf5, 0xab, 0x17, 0xfd, 0xeb, 0x35, 0x00, 0x00, 0xff, 0xff, 0x32, 0x16, 0x3f, 0x7e,
-	0xe5, 0x02, 0x00, 0x00,
+	// 642 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xbc, 0x54, 0xdd, 0x6e, 0xd3, 0x30,
+	0x14, 0x56, 0xfa, 0xb3, 0xb5, 0xa7, 0xd9, 0x56, 0xac, 0x09, 0x85, 0xc2, 0x58, 0x97, 0x4a, 0x68,
+	0xdc, 0x74, 0xd2, 0x40, 0xdc, 0x4c, 0x42, 0x62, 0xd3, 0x60, 0x03, 0xc4, 0x85, 0xd9, 0x15, 0x37,
+	0x91, 0x9b, 0x9c, 0xaa, 0xa1, 0x4e, 0x1c, 0xec, 0x14, 0x56, 0x89, 0x27, 0xe0, 0x4d, 0x78, 0x36,
+	0x5e, 0x02, 0xd9, 0x71, 0xda, 0x74, 0x3f, 0x15, 0x57, 0xdc, 0xf9, 0x3b, 0xfe, 0x7c, 0x7e, 0xbe,
+	0x73, 0x8e, 0xa1, 0x1b, 0x8a, 0x34, 0x97, 0x82, 0x73, 0x94, 0xc3, 0x4c, 0x8a, 0x5c, 0x90, 0xee,
+	0x88, 0x89, 0x11, 0x1b, 0x65, 0x2c, 0x8a, 0x38, 0x0e, 0x65, 0x16, 0xfa, 0xaf, 0x61, 0xfb, 0xfc,
+	0x1a, 0xc3, 0x59, 0x8e, 0x14, 0xbf, 0xcd, 0x50, 0xe5, 0xc4, 0x83, 0xcd, 0x50, 0x24, 0x09, 0x4b,
+	0x23, 0xcf, 0xe9, 0x3b, 0x87, 0x2e, 0x2d, 0x21, 0x21, 0xd0, 0x98, 0x88, 0x4c, 0x79, 0xb5, 0xbe,
+	0x73, 0xb8, 0x45, 0xcd, 0xd9, 0x7f, 0x06, 0xee, 0xe2, 0x7d, 0xc6, 0xe7, 0xe4, 0x21, 0x6c, 0x48,
+	0x54, 0x33, 0x9e, 0xdb, 0xc7, 0x16, 0xf9, 0x08, 0x0f, 0x3e, 0x0a, 0x31, 0x9d, 0x65, 0x57, 0xc8,
+	0x92, 0x32, 0xd4, 0x23, 0x68, 0x4d, 0x71, 0x1e, 0x4c, 0x98, 0x9a, 0x18, 0x7a, 0x9b, 0x6e, 0x4e,
+	0x71, 0x7e, 0xc1, 0xd4, 0x44, 0xc7, 0x4a, 0x59, 0x82, 0x26, 0x56, 0x9b, 0x9a, 0x33, 0x39, 0x00,
+	0x37, 0x89, 0xd3, 0x40, 0xe2, 0xf7, 0x58, 0xc5, 0x22, 0xf5, 0xea, 0x7d, 0xe7, 0xb0, 0x41, 0x3b,
+	0x49, 0x9c, 0x52, 0x6b, 0xf2, 0x03, 0xd8, 0xa9, 0x86, 0xd1, 0x19, 0xed, 0x42, 0x73, 0x2c, 0x66,
+	0xb6, 0x9a, 0x16, 0x2d, 0x00, 0xe9, 0x41, 0x4b, 0xa2, 0x12, 0x33, 0x19, 0x16, 0x31, 0x5c, 0xba,
+	0xc0, 0xc5, 0xdd, 0x4a, 0x8c, 0x05, 0xf6, 0x07, 0xb0, 0xf3, 0x0e, 0xf3, 0x33, 0xce, 0xe2, 0x45,
+	0x15, 0x5d, 0xa8, 0x4f, 0x71, 0x6e, 0x0b, 0xd0, 0x47, 0xff, 0x04, 0xb6, 0x96, 0xa4, 0xfb, 0x73,
+	0xd8, 0x85, 0x66, 0xa8, 0x39, 0x36, 0x81, 0x02, 0xf8, 0xbf, 0x1d, 0xd8, 0x3e, 0x5b, 0x34, 0xee,
+	0x32, 0x1d, 0x0b, 0xdd, 0x12, 0x16, 0x45, 0x12, 0x95, 0x2a, 0x65, 0xb2, 0x90, 0x3c, 0x87, 0xae,
+	0xc8, 0x50, 0xb2, 0x5c, 0xc8, 0xa0, 0xa4, 0x14, 0x92, 0xed, 0x94, 0xf6, 0x37, 0x96, 0x4a, 0xa0,
+	0x11, 0xc5, 0x6a, 0x6a, 0x2a, 0x6a, 0x51, 0x73, 0x26, 0xfb, 0xd0, 0x19, 0xc7, 0x52, 0xe5, 0x81,
+	0xca, 0x99, 0xcc, 0xbd, 0x86, 0xb9, 0x02, 0x63, 0xfa, 0xac, 0x2d, 0x64, 0x0f, 0x40, 0x62, 0xc6,
+	0xe3, 0x90, 0x05, 0x71, 0xe4, 0x35, 0x8d, 0x18, 0x6d, 0x6b, 0xb9, 0x8c, 0xfc, 0x9f, 0xe0, 0x5e,
+	0x20, 0xe7, 0xa2, 0x94, 0xe2, 0x25, 0x34, 0x14, 0xf2, 0xb1, 0xc9, 0xb2, 0x73, 0xdc, 0x1f, 0xde,
+	0x1c, 0xb7, 0xe1, 0x6a, 0x61, 0xd4, 0xb0, 0xc9, 0x2b, 0x68, 0x4e, 0x53, 0xf1, 0x23, 0xf5, 0x6a,
+	0xfd, 0xfa, 0x3f, 0x3d, 0x2b, 0xe8, 0xfe, 0x1f, 0x07, 0xc0, 0x86, 0xd7, 0x22, 0xff, 0xd7, 0xe0,
+	0xba, 0x27, 0xa6, 0x8b, 0x28, 0x8d, 0xa2, 0x6d, 0x5a, 0x42, 0x7d, 0x93, 0x60, 0x32, 0x42, 0xa9,
+	0x8c, 0xa0, 0x2e, 0x2d, 0x21, 0x19, 0xc0, 0x96, 0x3d, 0x06, 0x71, 0x1a, 0xe1, 0xb5, 0x15, 0xd4,
+	0xb5, 0xc6, 0x4b, 0x6d, 0xd3, 0x1b, 0xc4, 0x91, 0x69, 0xbf, 0x1b, 0xc6, 0xaf, 0x45, 0xfe, 0x5b,
+	0xe8, 0xbc, 0x17, 0x7a, 0xd4, 0x0b, 0xa9, 0x57, 0x3b, 0xe3, 0xdc, 0xe8, 0x4c, 0x75, 0x64, 0x6a,
+	0x2b, 0x23, 0xe3, 0x9f, 0x40, 0xbb, 0xf0, 0x63, 0xd7, 0xf5, 0xab, 0x88, 0x53, 0x2c, 0x27, 0xd3,
+	0xa2, 0x4a, 0x12, 0xb5, 0x6a, 0x12, 0xc7, 0xbf, 0xea, 0x00, 0x4b, 0x3d, 0xc8, 0x07, 0xd8, 0xb4,
+	0xdb, 0x4f, 0xee, 0x10, 0x6e, 0xf5, 0x63, 0xe9, 0x3d, 0x5d, 0xc3, 0xd0, 0xb9, 0x5c, 0x01, 0x2c,
+	0x77, 0x97, 0x0c, 0x6e, 0xb3, 0x6f, 0x7d, 0x20, 0xbd, 0x83, 0xf5, 0x24, 0xed, 0xf5, 0x13, 0xb4,
+	0xca, 0x5d, 0x24, 0x77, 0xd0, 0x6f, 0x2c, 0x73, 0x6f, 0x7f, 0x1d, 0x45, 0xfb, 0x3b, 0x87, 0xa6,
+	0x99, 0x39, 0x72, 0x47, 0x39, 0xd5, 0x5d, 0xe8, 0x3d, 0xb9, 0xf7, 0x5e, 0xbb, 0x39, 0x85, 0x86,
+	0xee, 0x02, 0xd9, 0xbb, 0xcd, 0xaa, 0x74, 0xb9, 0xf7, 0xf8, 0xbe, 0xeb, 0x8c, 0xcf, 0x4f, 0x07,
+	0x5f, 0x0e, 0xaa, 0xb7, 0x47, 0x63, 0x8e, 0x98, 0x1f, 0x2d, 0x3f, 0xfd, 0x23, 0x99, 0x85, 0xa3,
+	0x0d, 0xf3, 0xf3, 0xbf, 0xf8, 0x1b, 0x00, 0x00, 0xff, 0xff, 0xb5, 0xd2, 0xa2, 0x3e, 0x0d, 0x06,
+	0x00, 0x00,
 }
--- a/fleet/credential/credential.go
+++ b/fleet/credential/credential.go
@@ -45,10 +45,21 @@
 	InsecureLoopback bool `json:"insecure_loopback,omitempty"`
 	// TokenFile holds the shared token for insecure loopback.
 	TokenFile string `json:"token_file,omitempty"`
+	// PrivateNetwork allows plain TCP without a token between any addresses, for
+	// networks that carry nothing but the fleet.
+	PrivateNetwork bool `json:"private_network,omitempty"`
 }
 
 // Check reports a missing or contradictory field.
 func (s *Settings) Check() error {
+	if s.PrivateNetwork {
+		if *s != (Settings{
+			PrivateNetwork: true,
+		}) {
+			return merry.New("private_network: goes with no other field")
+		}
+		return nil
+	}
 	if s.InsecureLoopback {
 		if s.TokenFile == "" || s.CertFile != "" {
 			return merry.New("token_file: insecure_loopback needs a token file and no certificate")
@@ -73,13 +84,19 @@
 	token string
 	cert  *tls.Certificate
 	pool  *x509.CertPool
+	// private tells that the network admits nobody else.
+	private bool
 }
 
 // Load reads the files the settings name. Self is used where no certificate
 // tells the role.
 func Load(s Settings, self Peer) (*Credential, error) {
 	c := &Credential{
-		self: self,
+		self:    self,
+		private: s.PrivateNetwork,
+	}
+	if s.PrivateNetwork {
+		return c, nil
 	}
 	if s.InsecureLoopback {
 		data, err := os.ReadFile(s.TokenFile)
@@ -110,7 +127,7 @@
 
 // CheckListen refuses plain TCP on any address that is not loopback.
 func (c *Credential) CheckListen(address string) error {
-	if c.cert != nil {
+	if c.cert != nil || c.private {
 		return nil
 	}
 	parsed, err := netip.ParseAddrPort(address)
@@ -215,7 +232,7 @@
 func (c *Credential) Peer(r *http.Request) (Peer, bool) {
 	if c.cert == nil {
 		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if !ok || subtle.ConstantTimeCompare([]byte(token), []byte(c.token)) != 1 {
+		if !c.private && (!ok || subtle.ConstantTimeCompare([]byte(token), []byte(c.token)) != 1) {
 			return Peer{}, false
 		}
 		return Peer{
--- a/fleet/disk/store.go
+++ b/fleet/disk/store.go
@@ -64,6 +64,10 @@
 	if _, err := os.Stat(filepath.Join(folder, identityFile)); err == nil {
 		return ErrHasIdentity
 	}
+	// A snapshot or log without an identity is left over from an erased replica.
+	if err := Erase(folder); err != nil {
+		return err
+	}
 	payload, err := cbor.Marshal(identity)
 	if err != nil {
 		return merry.Prepend(err, "encode the identity")
@@ -71,6 +75,20 @@
 	return replaceFile(folder, identityFile, appendRecord(nil, payload))
 }
 
+// Erase removes the replica from a folder that no store has open. The identity
+// goes first, so that nothing left over is ever taken for the replica's.
+func Erase(folder string) error {
+	for _, name := range []string{identityFile, snapshotFile, logFile} {
+		if err := os.Remove(filepath.Join(folder, name)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+			return merry.Prepend(err, "erase the data folder")
+		}
+		if err := syncFolder(folder); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Open locks the folder and returns the state that was durable in it.
 func Open(folder string) (*Store, raft.Restored, error) {
 	s := &Store{
--- /dev/null
+++ b/fleet/dispatch/request.go
@@ -0,0 +1,110 @@
+package dispatch
+
+import "time"
+
+// Key names one request of the fleet.
+type Key struct {
+	Gateway string
+	ID      uint64
+}
+
+// Part is a piece of a prompt that other requests may have in common.
+type Part struct {
+	ID     uint64 `cbor:"1,keyasint"`
+	Tokens int    `cbor:"2,keyasint"`
+}
+
+// Prompt describes what a model engine has to read and may generate.
+type Prompt struct {
+	// Parts are the pieces of the prompt in order. Engines keep pieces that they
+	// have read, each of use only after all pieces before it.
+	Parts []Part `cbor:"1,keyasint,omitempty"`
+	// Tokens is the length of the whole prompt.
+	Tokens int `cbor:"2,keyasint,omitempty"`
+	// MaxOutput is how many tokens may be generated at most.
+	MaxOutput int `cbor:"3,keyasint,omitempty"`
+}
+
+// Request asks for a place.
+type Request struct {
+	ID      uint64 `cbor:"1,keyasint"`
+	Service string `cbor:"2,keyasint"`
+	// Team is empty on routes that need no key.
+	Team string `cbor:"3,keyasint,omitempty"`
+	// Zone is where the asking gateway stands.
+	Zone   string `cbor:"4,keyasint,omitempty"`
+	Prompt Prompt `cbor:"5,keyasint,omitempty"`
+	// Objective is the time from the caller's request to the first event, or to
+	// the answer, that is on time.
+	Objective time.Duration `cbor:"6,keyasint,omitempty"`
+	// Left is how long the caller still waits.
+	Left time.Duration `cbor:"7,keyasint,omitempty"`
+	// Tried are upstreams that this request was sent to before.
+	Tried []string `cbor:"8,keyasint,omitempty"`
+	// Resumed tells that the request goes on with a stream that broke off, so
+	// that it must not be refused for its team's share.
+	Resumed bool `cbor:"9,keyasint,omitempty"`
+	// Repeatable requests may be given to an upstream that is on probation.
+	Repeatable bool `cbor:"10,keyasint,omitempty"`
+}
+
+// Decision answers a Request.
+type Decision struct {
+	ID uint64 `cbor:"1,keyasint"`
+	// Upstream is where to send the request; empty means that it is refused.
+	Upstream string `cbor:"2,keyasint,omitempty"`
+	// RetryAfter is when a refused caller should come back.
+	RetryAfter time.Duration `cbor:"3,keyasint,omitempty"`
+	// Reason tells why a request is refused.
+	Reason Reason `cbor:"4,keyasint,omitempty"`
+	// Wait is the estimated time until the upstream begins to answer.
+	Wait time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// Reason tells why a request is refused.
+type Reason string
+
+// The reasons of refusals.
+const (
+	// NoUpstream: the service has no upstream that takes requests.
+	NoUpstream Reason = "no_upstream"
+	// OverShare: the team is over its share while engines are busy.
+	OverShare Reason = "over_share"
+	// Busy: no upstream can begin in time.
+	Busy Reason = "busy"
+)
+
+// Ending tells how an upstream's work on a request ended.
+type Ending uint8
+
+// The endings of requests.
+const (
+	// Answered: the upstream's answer came whole.
+	Answered Ending = iota
+	// CallerLeft: the caller went away or its deadline passed.
+	CallerLeft
+	// NotRun: the upstream said that it did not run the request.
+	NotRun
+	// Unreachable: no connection could be made, nothing was sent.
+	Unreachable
+	// Broken: the connection broke or the answer was none.
+	Broken
+	// Failed: the upstream answered with a failure of its own.
+	Failed
+	// Gone: another upstream has the address.
+	Gone
+	// Silent: the upstream did not begin to answer until the deadline.
+	Silent
+)
+
+// Upstream is one upstream as the platform's list has it.
+type Upstream struct {
+	ID      string `cbor:"1,keyasint"`
+	Service string `cbor:"2,keyasint"`
+	Address string `cbor:"3,keyasint"`
+	Zone    string `cbor:"4,keyasint"`
+	// Slots is how many requests it runs at once.
+	Slots int `cbor:"5,keyasint"`
+	// Draining upstreams get no new requests.
+	Draining bool `cbor:"6,keyasint,omitempty"`
+}
--- /dev/null
+++ b/fleet/dispatch/settings.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import "time"
+
+// Settings configures a Core. Zero fields take the defaults below.
+type Settings struct {
+	// ShareWindow is how far back a team's tokens count.
+	ShareWindow time.Duration
+	// Portion is the part of the fleet's requests that this core sees: 1 at the
+	// leader, less where a gateway decides alone.
+	Portion float64
+}
+
+// Defaults and figures of a Core.
+const (
+	// DefaultShareWindow is a little over the four seconds within which a team's
+	// share is due, so that no window of that length gets more.
+	DefaultShareWindow = 4500 * time.Millisecond
+	// readTokensPerMilli is the prompt tokens that an engine reads in a
+	// millisecond beside its running requests, until it was observed.
+	readTokensPerMilli = 57.0
+	// objectivePart is the part of a request's objective that its estimated wait
+	// may take; the rest is for what the estimate does not know.
+	objectivePart = 0.7
+	// idlePart is the part of the objective below which an engine counts as free
+	// for teams that are over their share.
+	idlePart = 0.33
+	// runningCost is what one running request costs a newcomer, in prompt tokens.
+	runningCost = 20.0
+	// zoneCost is what another availability zone costs, in prompt tokens.
+	zoneCost = 300.0
+	// queuePerSlot is how many requests may wait at a plain service's upstream
+	// for each slot.
+	queuePerSlot = 1.0
+	// minRetryAfter and maxRetryAfter bound when a refused caller comes back;
+	// between them the time is drawn, so that refused callers don't return at once.
+	minRetryAfter = 400 * time.Millisecond
+	maxRetryAfter = 1600 * time.Millisecond
+	// keptPart is the part of an engine's memory that is taken to keep prefixes.
+	keptPart = 0.6
+	// firstSuspension and longestSuspension bound how long an upstream that
+	// failed gets no requests; each failure in a row doubles the time.
+	firstSuspension   = 300 * time.Millisecond
+	longestSuspension = 5 * time.Second
+	// failuresToSuspend is how many failures in a row suspend an upstream that
+	// still answers connections.
+	failuresToSuspend = 3
+)
--- /dev/null
+++ b/fleet/dispatch/share.go
@@ -0,0 +1,107 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// buckets is how many parts a window of shares has.
+const buckets = 30
+
+// window sums tokens over a sliding span of time.
+type window struct {
+	sums  [buckets]float64
+	total float64
+	// slot is the number of the newest bucket since the zero time.
+	slot int64
+}
+
+func (w *window) advance(slot int64) {
+	if slot-w.slot >= buckets {
+		*w = window{
+			slot: slot,
+		}
+		return
+	}
+	for w.slot < slot {
+		w.slot++
+		i := w.slot % buckets
+		w.total -= w.sums[i]
+		w.sums[i] = 0
+	}
+}
+
+func (w *window) add(slot int64, tokens float64) {
+	w.advance(slot)
+	w.sums[w.slot%buckets] += tokens
+	w.total += tokens
+}
+
+// team is one team's account.
+type team struct {
+	asked    window
+	admitted window
+}
+
+// shares holds what teams asked for and were admitted within the window.
+type shares struct {
+	bucket time.Duration
+	teams  map[string]*team
+	// level is the largest sum within the window that one team may have.
+	level     float64
+	levelSlot int64
+	scratch   []float64
+}
+
+func newShares(span time.Duration) *shares {
+	return &shares{
+		bucket: span / buckets,
+		teams:  make(map[string]*team),
+	}
+}
+
+func (s *shares) slot(now time.Time) int64 { return now.UnixNano() / int64(s.bucket) }
+
+func (s *shares) team(name string) *team {
+	t := s.teams[name]
+	if t == nil {
+		t = &team{}
+		s.teams[name] = t
+	}
+	return t
+}
+
+// update computes the level anew when a bucket has passed.
+func (s *shares) update(now time.Time, capacity float64) {
+	slot := s.slot(now)
+	if slot == s.levelSlot {
+		return
+	}
+	s.levelSlot = slot
+	s.scratch = s.scratch[:0]
+	for name, t := range s.teams {
+		t.asked.advance(slot)
+		t.admitted.advance(slot)
+		if t.asked.total <= 0 && t.admitted.total <= 0 {
+			delete(s.teams, name)
+			continue
+		}
+		s.scratch = append(s.scratch, t.asked.total)
+	}
+	s.level = level(s.scratch, capacity)
+}
+
+// level returns the max-min level: the largest amount that each may have so that
+// the sum of the smaller of its demand and the level is at most the capacity.
+func level(demands []float64, capacity float64) float64 {
+	slices.Sort(demands)
+	left := capacity
+	for i, d := range demands {
+		even := left / float64(len(demands)-i)
+		if d >= even {
+			return even
+		}
+		left -= d
+	}
+	return capacity
+}
--- a/fleet/link/client.go
+++ b/fleet/link/client.go
@@ -27,13 +27,18 @@
 	// Heartbeat is how often both ends send a heartbeat when they are quiet; the
 	// end that dials decides. Zero means DefaultHeartbeatInterval.
 	Heartbeat time.Duration
-	Stats     *Stats
+	// DialTimeout bounds the opening of a link. Zero means dialTimeout.
+	DialTimeout time.Duration
+	// MaxBackoff bounds the pause before a link is dialled anew. Zero means
+	// maxBackoff.
+	MaxBackoff time.Duration
+	Stats      *Stats
 }
 
 // Dial opens a link to the path at an address. The link ends with the context.
 func Dial[T any](ctx context.Context, d Dialer, address, path string) (*Conn[T], error) {
 	setup, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(dialTimeout, func() { cancel(ErrSilent) })
+	timer := time.AfterFunc(d.dialTimeout(), func() { cancel(ErrSilent) })
 	request, err := http.NewRequestWithContext(setup, http.MethodGet, d.Credential.Scheme()+"://"+address+path, nil)
 	if err != nil {
 		return nil, merry.Prepend(err, "dial a link")
@@ -64,6 +69,20 @@
 	return c, nil
 }
 
+func (d Dialer) dialTimeout() time.Duration {
+	if d.DialTimeout == 0 {
+		return dialTimeout
+	}
+	return d.DialTimeout
+}
+
+func (d Dialer) maxBackoff() time.Duration {
+	if d.MaxBackoff == 0 {
+		return maxBackoff
+	}
+	return d.MaxBackoff
+}
+
 func (d Dialer) heartbeat() time.Duration {
 	if d.Heartbeat == 0 {
 		return DefaultHeartbeatInterval
@@ -82,7 +101,7 @@
 				opened := time.Now()
 				use(c)
 				c.Close()
-				if time.Since(opened) > maxBackoff {
+				if time.Since(opened) > d.maxBackoff() {
 					backoff = minBackoff
 				}
 			}
@@ -91,6 +110,6 @@
 		case <-ctx.Done():
 		case <-time.After(backoff):
 		}
-		backoff = min(2*backoff, maxBackoff)
+		backoff = min(2*backoff, d.maxBackoff())
 	}
 }
--- /dev/null
+++ b/fleet/membership/core.go
@@ -0,0 +1,300 @@
+package membership
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"baobabpaddle/fleet/raft"
+)
+
+// Timings of a Core.
+const (
+	// foundingDelay is how long the seed that names the founder collects
+	// controllers, which start within a third of a second of each other.
+	foundingDelay = 900 * time.Millisecond
+	// joiningInterval and restInterval are how often others are greeted before
+	// and after this controller has found its place.
+	joiningInterval = 150 * time.Millisecond
+	restInterval    = time.Second
+	// forgetAfter is how long a controller that is no member is remembered
+	// without being heard.
+	forgetAfter = 30 * time.Second
+)
+
+// Controller is what a controller tells of itself.
+type Controller struct {
+	// Address is where the fleet's processes reach it.
+	Address string
+	// OperatorAddress is where operators reach it.
+	OperatorAddress string
+	// Disk tells that it may hold a replica.
+	Disk bool
+	// FirstStart tells that the whole fleet starts for the first time.
+	FirstStart bool
+	// ReplicaID is the identifier of its replica; zero when it has none.
+	ReplicaID uint64
+}
+
+// Group is what is known of the replicated group.
+type Group struct {
+	Members raft.Members
+	// Index is the place in the log up to which Members is known.
+	Index uint64
+	// Leader is the leader's address, or empty.
+	Leader string
+}
+
+// Greeting is what controllers tell each other.
+type Greeting struct {
+	Self  Controller
+	Known []Controller
+	// Founder is the address of the founding controller, once it is named.
+	Founder string
+	Group   Group
+}
+
+// Step is what a controller without a replica does next.
+type Step uint8
+
+// The steps.
+const (
+	// Wait: not enough is known yet.
+	Wait Step = iota
+	// Found: start the group with this controller as its only member.
+	Found
+	// Join: ask the leader to be added.
+	Join
+)
+
+type acquaintance struct {
+	Controller
+	heard time.Time
+}
+
+// Core is one controller's knowledge of the others.
+type Core struct {
+	self    Controller
+	seeds   []string
+	known   map[string]acquaintance
+	founder string
+	group   Group
+	started time.Time
+	due     time.Time
+}
+
+// New returns the core of a controller that starts now. Seeds are addresses of
+// controllers, its own possibly among them.
+func New(self Controller, seeds []string, now time.Time) *Core {
+	return &Core{
+		self:    self,
+		seeds:   slices.Clone(seeds),
+		known:   make(map[string]acquaintance),
+		started: now,
+		due:     now,
+	}
+}
+
+// SetSeeds replaces the seeds.
+func (c *Core) SetSeeds(seeds []string) { c.seeds = slices.Clone(seeds) }
+
+// SetReplica tells which replica this controller holds now; zero is none.
+func (c *Core) SetReplica(id uint64) { c.self.ReplicaID = id }
+
+// SetGroup takes the membership as the own replica knows it.
+func (c *Core) SetGroup(g Group) {
+	if g.Index >= c.group.Index {
+		leader := g.Leader
+		if leader == "" {
+			leader = c.group.Leader
+		}
+		c.group = g
+		c.group.Leader = leader
+	}
+}
+
+// Group returns what is known of the replicated group.
+func (c *Core) Group() Group { return c.group }
+
+// Greeting returns what this controller tells others.
+func (c *Core) Greeting() Greeting {
+	g := Greeting{
+		Self:    c.self,
+		Founder: c.founder,
+		Group:   c.group,
+	}
+	for _, address := range slices.Sorted(maps.Keys(c.known)) {
+		g.Known = append(g.Known, c.known[address].Controller)
+	}
+	return g
+}
+
+// Hear takes what another controller tells.
+func (c *Core) Hear(now time.Time, g Greeting) {
+	c.meet(now, g.Self, true)
+	for _, k := range g.Known {
+		c.meet(now, k, false)
+	}
+	if c.founder == "" {
+		c.founder = g.Founder
+	}
+	if g.Group.Index > c.group.Index || (g.Group.Index == c.group.Index && g.Group.Leader != "") {
+		c.group = g.Group
+	}
+}
+
+// meet remembers a controller. What it says of itself goes before what others
+// say of it.
+func (c *Core) meet(now time.Time, k Controller, itself bool) {
+	if k.Address == "" || k.Address == c.self.Address {
+		return
+	}
+	if _, ok := c.known[k.Address]; ok && !itself {
+		return
+	}
+	c.known[k.Address] = acquaintance{
+		Controller: k,
+		heard:      now,
+	}
+}
+
+// Due returns whom to greet now; nobody before the interval has passed.
+func (c *Core) Due(now time.Time) []string {
+	if now.Before(c.due) {
+		return nil
+	}
+	interval := restInterval
+	if !c.settled() {
+		interval = joiningInterval
+	}
+	c.due = now.Add(interval)
+	c.forget(now)
+	c.nameFounder(now)
+	set := make(map[string]bool)
+	for _, s := range c.seeds {
+		set[s] = true
+	}
+	for address := range c.known {
+		set[address] = true
+	}
+	for _, m := range c.group.Members.List {
+		set[m.Address] = true
+	}
+	delete(set, c.self.Address)
+	return slices.Sorted(maps.Keys(set))
+}
+
+// Deadline returns when Due has somebody to greet.
+func (c *Core) Deadline() time.Time { return c.due }
+
+// settled reports whether this controller has found its place.
+func (c *Core) settled() bool {
+	if len(c.group.Members.List) == 0 {
+		return false
+	}
+	if !c.self.Disk {
+		return true
+	}
+	_, ok := c.group.Members.Find(c.self.ReplicaID)
+	return ok
+}
+
+func (c *Core) forget(now time.Time) {
+	for address, k := range c.known {
+		if now.Sub(k.heard) > forgetAfter {
+			delete(c.known, address)
+		}
+	}
+}
+
+// nameFounder names the founder, when this controller is the seed that does.
+func (c *Core) nameFounder(now time.Time) {
+	if c.founder != "" || !c.self.FirstStart || len(c.group.Members.List) > 0 ||
+		now.Sub(c.started) < foundingDelay || len(c.seeds) == 0 ||
+		slices.MinFunc(c.seeds, compareAddresses) != c.self.Address {
+		return
+	}
+	var candidates []string
+	if c.self.Disk {
+		candidates = append(candidates, c.self.Address)
+	}
+	for _, k := range c.known {
+		if k.ReplicaID != 0 {
+			return // a group exists already
+		}
+		if k.Disk && k.FirstStart {
+			candidates = append(candidates, k.Address)
+		}
+	}
+	if len(candidates) > 0 {
+		c.founder = slices.MinFunc(candidates, compareAddresses)
+	}
+}
+
+// compareAddresses orders addresses by number.
+func compareAddresses(a, b string) int {
+	x, errX := netip.ParseAddrPort(a)
+	y, errY := netip.ParseAddrPort(b)
+	if errX != nil || errY != nil {
+		if a < b {
+			return -1
+		}
+		if a > b {
+			return 1
+		}
+		return 0
+	}
+	return x.Compare(y)
+}
+
+// Next returns what this controller, which has a disk but no replica, does next.
+func (c *Core) Next() Step {
+	switch {
+	case len(c.group.Members.List) > 0:
+		return Join
+	case c.self.FirstStart && c.founder == c.self.Address:
+		return Found
+	}
+	return Wait
+}
+
+// Removed reports whether the own replica was removed from the group, so that
+// it can only come back under a new identifier.
+func (c *Core) Removed() bool {
+	return c.self.ReplicaID != 0 && slices.Contains(c.group.Members.Removed, c.self.ReplicaID)
+}
+
+// OperatorAddress returns where operators reach the controller at an address,
+// or "" when that is not known.
+func (c *Core) OperatorAddress(address string) string { return c.known[address].OperatorAddress }
+
+// Addresses returns the addresses of all known controllers, this one included,
+// members first.
+func (c *Core) Addresses() []string {
+	var out []string
+	for _, m := range c.group.Members.List {
+		out = append(out, m.Address)
+	}
+	for _, address := range append(slices.Sorted(maps.Keys(c.known)), c.self.Address) {
+		if !slices.Contains(out, address) {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// DiskControllers returns how many controllers with a disk are known, this one
+// included.
+func (c *Core) DiskControllers() int {
+	n := 0
+	if c.self.Disk {
+		n++
+	}
+	for _, k := range c.known {
+		if k.Disk {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/fleet/program/deploy.go
@@ -0,0 +1,76 @@
+package program
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"baobabpaddle/fleet/settings"
+)
+
+// rereadInterval is how often a settings file is looked at, since it may change
+// without a signal.
+const rereadInterval = 2 * time.Second
+
+// DeploymentSettingsFlag is the flag of commands whose settings file may be
+// named by the platform.
+type DeploymentSettingsFlag struct {
+	Settings string `type:"path" help:"Settings file, JSON with comments. Without it the platform names the file."`
+}
+
+// Path returns the file that the flag names, or else the platform's.
+func (f DeploymentSettingsFlag) Path(platform func() string) string {
+	if f.Settings != "" {
+		return f.Settings
+	}
+	return platform()
+}
+
+// Deploy runs a program under the settings file at path until a signal. A hangup
+// signal, or a look at the file from time to time, has changed settings read
+// again and handed to run; a file that can't be read or is invalid changes
+// nothing.
+func Deploy[T any, P checker[T]](path string, run func(ctx context.Context, s T, changes <-chan T) error) error {
+	var s T
+	if err := settings.Load(path, P(&s)); err != nil {
+		return err
+	}
+	ctx, cancel := Signals()
+	defer cancel()
+	changes := make(chan T, 1)
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	go reread[T, P](ctx, path, hangup, changes)
+	return run(ctx, s, changes)
+}
+
+func reread[T any, P checker[T]](ctx context.Context, path string, hangup <-chan os.Signal, changes chan<- T) {
+	ticker := time.NewTicker(rereadInterval)
+	defer ticker.Stop()
+	last, _ := os.ReadFile(path) // read and checked a moment ago
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		case <-ticker.C:
+		}
+		data, err := os.ReadFile(path)
+		if err != nil || bytes.Equal(data, last) {
+			continue
+		}
+		var s T
+		if settings.Parse(data, P(&s)) != nil {
+			continue // half written, or wrong: the settings in force stay
+		}
+		last = data
+		select {
+		case changes <- s:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/fleet/raft/core.go
+++ b/fleet/raft/core.go
@@ -36,6 +36,13 @@
 	HeartbeatInterval time.Duration
 	MaxAppendEntries  int
 	MaxUncommitted    int
+	// MaxVoters bounds the voters that the leader keeps by itself: an odd number
+	// of them, learners standing by to replace those that fall silent. Zero makes
+	// every learner a voter and replaces none.
+	MaxVoters int
+	// ReplaceAfter is how long a member may be silent before a learner that has
+	// caught up takes its place.
+	ReplaceAfter time.Duration
 }
 
 // Restored is the durable state a replica starts from.
@@ -148,6 +155,20 @@
 // Members returns the membership in force, committed or not.
 func (c *Core) Members() Members { return c.members.Clone() }
 
+// CommittedMembers returns the newest membership that is committed, and the index
+// of its entry or of the snapshot that has it.
+func (c *Core) CommittedMembers() (Members, uint64) {
+	if c.membersIndex <= c.hard.Commit {
+		return c.members.Clone(), c.membersIndex
+	}
+	for i := len(c.log.entries) - 1; i >= 0; i-- {
+		if e := c.log.entries[i]; e.Kind == EntryMembers && e.Index <= c.hard.Commit {
+			return e.Members.Clone(), e.Index
+		}
+	}
+	return c.snapMembers.Clone(), c.log.snapIndex
+}
+
 // Deadline returns the time at which Tick has work to do.
 func (c *Core) Deadline() time.Time {
 	if c.role == Leader {
@@ -193,7 +214,7 @@
 	if !now.Before(c.heartbeatDue) {
 		c.heartbeatDue = now.Add(c.settings.HeartbeatInterval)
 		c.broadcast(now)
-		c.promoteLearner(now)
+		c.adjustMembers(now)
 	}
 }
 
--- a/fleet/raft/replication.go
+++ b/fleet/raft/replication.go
@@ -9,7 +9,6 @@
 const (
 	appendTimeoutHeartbeats   = 3
 	snapshotTimeoutHeartbeats = 50
-	learnerCaughtUp           = 64 // entries a learner may lag when it is promoted
 )
 
 // Step takes a message from another replica.
@@ -341,21 +340,3 @@
 		Members: &m,
 	})
 }
-
-// promoteLearner makes a learner that has caught up a voter.
-func (c *Core) promoteLearner(now time.Time) {
-	for _, m := range c.members.List {
-		p := c.peers[m.ID]
-		if m.Voter || p == nil || p.match+learnerCaughtUp < c.log.lastIndex() || p.match == 0 {
-			continue
-		}
-		next, err := c.members.WithVoter(m.ID)
-		if err != nil {
-			continue
-		}
-		if _, err := c.ProposeMembers(now, next); err == nil {
-			c.Flush(now)
-		}
-		return
-	}
-}
--- a/fleet/state/command.go
+++ b/fleet/state/command.go
@@ -39,6 +39,8 @@
 	Start  *SidecarStart `json:"start,omitempty"`
 	Lease  *LeaseRequest `json:"lease,omitempty"`
 	Disk   *Disk         `json:"disk,omitempty"`
+
+	Replace *Replace `json:"replace,omitempty"`
 }
 
 // Put creates a resource (Version zero) or replaces the one with that version.
--- /dev/null
+++ b/fleet/state/replace.go
@@ -0,0 +1,37 @@
+package state
+
+import "bytes"
+
+// Replace puts a whole configuration in the place of the one in force.
+type Replace struct {
+	// Version is the operator's; the highest one is in force.
+	Version uint64 `json:"version"`
+	// Document is the configuration as the operator sent it. It was checked
+	// before it was proposed.
+	Document []byte `json:"document"`
+}
+
+// replace puts the configuration in force if its version is the highest so far.
+// An older one is overtaken: it is acknowledged and changes nothing. Another
+// document under the version in force is a conflict.
+func (s *State) replace(r Replace) Result {
+	if r.Version == 0 || len(r.Document) == 0 {
+		return Result{
+			Code:   CodeInvalid,
+			Detail: "the configuration has no version or no document",
+		}
+	}
+	present := s.Configuration
+	if r.Version == present.Version && !bytes.Equal(r.Document, present.Document) {
+		return Result{
+			Code:   CodeVersionConflict,
+			Detail: "another configuration has this version",
+		}
+	}
+	if r.Version > present.Version {
+		s.Configuration = r
+	}
+	return Result{
+		Code: CodeOK,
+	}
+}
--- a/fleet/state/state.go
+++ b/fleet/state/state.go
@@ -41,9 +41,11 @@
 	Leases    map[string]Lease                               `json:"leases"`
 	Sidecars  map[string]string                              `json:"sidecars"`
 	Disks     map[uint64]string                              `json:"disks"`
-	keys      map[string]string
-	numbers   map[uint64]string
-	open      map[string]map[string]bool
+	// Configuration is the whole configuration in force; version zero is none.
+	Configuration Replace `json:"configuration"`
+	keys          map[string]string
+	numbers       map[uint64]string
+	open          map[string]map[string]bool
 }
 
 // New returns an empty state.
@@ -122,6 +124,8 @@
 		return s.lease(index, c.Time, *c.Lease)
 	case c.Disk != nil:
 		return s.disk(*c.Disk)
+	case c.Replace != nil:
+		return s.replace(*c.Replace)
 	}
 	return Result{
 		Code: CodeInvalid,
