gateway: serve reaches upstreams by itself, placed by the leading controller

The whole path of the platform, thin: callers, gateways, the leader's placing, upstreams over kept connections.

--- a/controller/internal/gateway/hub.go
+++ b/controller/internal/gateway/hub.go
@@ -181,7 +181,6 @@
 	}
 	h.conns[c.name] = c
 	h.linked.Store(int64(len(h.conns)))
-	h.refresh()
 	frame := wire.Serve{
 		Welcome: &wire.Welcome{
 			Leads:       true,
@@ -194,7 +193,7 @@
 		}
 	}
 	h.send(c, frame)
-	h.tell(c)
+	h.refresh()
 	h.tellGateways()
 	h.log.Info("gateway linked", "gateway", c.name, "version", c.version)
 }
--- a/fleet/dispatch/core.go
+++ b/fleet/dispatch/core.go
@@ -350,3 +350,26 @@
 		}
 	}
 }
+
+// Placement is a request that is at an upstream.
+type Placement struct {
+	Key
+	Upstream string
+	Prompt   Prompt
+	// Begun tells that the answer has begun.
+	Begun bool
+}
+
+// Placements returns all requests that are at upstreams, in no order.
+func (c *Core) Placements() []Placement {
+	out := make([]Placement, 0, len(c.placed))
+	for key, p := range c.placed {
+		out = append(out, Placement{
+			Key:      key,
+			Upstream: p.engine.ID,
+			Prompt:   p.prompt,
+			Begun:    !p.reading,
+		})
+	}
+	return out
+}
--- a/fleet/wire/serve.go
+++ b/fleet/wire/serve.go
@@ -61,7 +61,6 @@
 type Sent struct {
 	ID       uint64          `cbor:"1,keyasint"`
 	Upstream string          `cbor:"2,keyasint"`
-	Team     string          `cbor:"3,keyasint,omitempty"`
 	Prompt   dispatch.Prompt `cbor:"4,keyasint,omitempty"`
 	// Begun tells that the answer has begun.
 	Begun bool `cbor:"5,keyasint,omitempty"`
--- /dev/null
+++ b/gateway/internal/controller/link.go
@@ -0,0 +1,386 @@
+package controller
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"baobabpaddle/fleet/configuration"
+	"baobabpaddle/fleet/dispatch"
+	"baobabpaddle/fleet/link"
+	"baobabpaddle/fleet/steady"
+	"baobabpaddle/fleet/wire"
+)
+
+// Timings and limits of a Link.
+const (
+	// decisionTimeout is how long a leader may take to decide before the gateway
+	// decides by itself: some round trips between availability zones.
+	decisionTimeout = 60 * time.Millisecond
+	// flushInterval bounds how late the leader hears of answers that began or
+	// ended.
+	flushInterval = 5 * time.Millisecond
+	pingInterval  = 500 * time.Millisecond
+	eventQueue    = 4096
+)
+
+// Settings configures a Link.
+type Settings struct {
+	// Name is the gateway's, another one at each start.
+	Name string
+	Zone string
+	// Seeds are addresses of some controllers.
+	Seeds []string
+	// ProofLifetime is how long a proof that the configuration is the newest
+	// lets keys be served.
+	ProofLifetime time.Duration
+}
+
+// answer is where a decision is waited for.
+type answer chan dispatch.Decision
+
+type event struct {
+	place  *dispatch.Request
+	answer answer
+	begun  uint64
+	ended  *wire.Ended
+	linked *link.Conn[wire.Serve]
+	lost   *link.Conn[wire.Serve]
+	frame  *wire.Serve
+	from   *link.Conn[wire.Serve]
+}
+
+type waiting struct {
+	request  dispatch.Request
+	answer   answer
+	deadline time.Time
+}
+
+// Link is the gateway's end of the link to the leader, and the gateway's own
+// core for the time without one.
+type Link struct {
+	settings Settings
+	dialer   link.Dialer
+	log      *slog.Logger
+	events   chan event
+	view     atomic.Pointer[View]
+	seeds    atomic.Pointer[[]string]
+
+	// What follows belongs to the control goroutine.
+	core    *dispatch.Core
+	conn    *link.Conn[wire.Serve]
+	waiting map[uint64]waiting
+	order   []uint64 // of waiting, by deadline
+	out     wire.Serve
+	pings   map[uint64]steady.Time
+	ping    uint64
+	version uint64
+
+	known atomic.Pointer[[]string] // addresses of controllers
+}
+
+// New returns a link that knows nothing yet.
+func New(settings Settings, dialer link.Dialer, log *slog.Logger) *Link {
+	l := &Link{
+		settings: settings,
+		dialer:   dialer,
+		log:      log,
+		events:   make(chan event, eventQueue),
+		core:     dispatch.New(dispatch.Settings{}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		waiting:  make(map[uint64]waiting),
+		pings:    make(map[uint64]steady.Time),
+	}
+	l.view.Store(&View{
+		Gateways: 1,
+	})
+	l.SetSeeds(settings.Seeds)
+	return l
+}
+
+// SetSeeds replaces the seed addresses.
+func (l *Link) SetSeeds(seeds []string) { l.seeds.Store(&seeds) }
+
+// View returns what is known now.
+func (l *Link) View() *View { return l.view.Load() }
+
+// Place decides where a request goes.
+func (l *Link) Place(ctx context.Context, r dispatch.Request) dispatch.Decision {
+	a := make(answer, 1)
+	l.events <- event{
+		place:  &r,
+		answer: a,
+	}
+	select {
+	case d := <-a:
+		return d
+	case <-ctx.Done():
+		// The decision may still come; the request then ends at once.
+		go func() {
+			if d := <-a; d.Upstream != "" {
+				l.Ended(r.ID, dispatch.CallerLeft)
+			}
+		}()
+		return dispatch.Decision{
+			ID:     r.ID,
+			Reason: dispatch.Busy,
+		}
+	}
+}
+
+// Begun tells that the answer to a request has begun.
+func (l *Link) Begun(id uint64) {
+	l.events <- event{
+		begun: id,
+	}
+}
+
+// Ended tells how an upstream's work on a request ended.
+func (l *Link) Ended(id uint64, ending dispatch.Ending) {
+	l.events <- event{
+		ended: &wire.Ended{
+			ID:     id,
+			Ending: ending,
+		},
+	}
+}
+
+// Run is the control goroutine; it ends with the context.
+func (l *Link) Run(ctx context.Context) {
+	go l.keep(ctx)
+	pings := time.NewTicker(pingInterval)
+	defer pings.Stop()
+	flush := time.NewTimer(time.Hour)
+	defer flush.Stop()
+	armed := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-l.events:
+			l.handle(e)
+			l.drain()
+		case <-pings.C:
+			l.sendPing()
+		case <-flush.C:
+			armed = false
+			l.expire(time.Now())
+			l.flush()
+		}
+		if !armed && (len(l.waiting) > 0 || !l.out.Empty()) {
+			flush.Reset(flushInterval)
+			armed = true
+		}
+	}
+}
+
+// drain takes what else waits; requests for places leave at once.
+func (l *Link) drain() {
+	for {
+		select {
+		case e := <-l.events:
+			l.handle(e)
+		default:
+			if len(l.out.Places) > 0 {
+				l.flush()
+			}
+			return
+		}
+	}
+}
+
+func (l *Link) flush() {
+	if l.out.Empty() {
+		return
+	}
+	if l.conn != nil {
+		// A failed send closes the link; its receiver reports that.
+		_ = l.conn.Send(l.out)
+	}
+	l.out = wire.Serve{}
+}
+
+func (l *Link) handle(e event) {
+	switch {
+	case e.place != nil:
+		l.place(*e.place, e.answer)
+	case e.begun != 0:
+		l.core.Begun(time.Now(), l.key(e.begun))
+		if l.conn != nil {
+			l.out.Begun = append(l.out.Begun, e.begun)
+		}
+	case e.ended != nil:
+		l.core.Ended(time.Now(), l.key(e.ended.ID), e.ended.Ending)
+		if l.conn != nil {
+			l.out.Ended = append(l.out.Ended, *e.ended)
+		}
+	case e.linked != nil:
+		l.linked(e.linked)
+	case e.lost != nil:
+		l.lost(e.lost)
+	case e.frame != nil && e.from == l.conn:
+		l.receive(*e.frame)
+	}
+}
+
+func (l *Link) key(id uint64) dispatch.Key {
+	return dispatch.Key{
+		Gateway: l.settings.Name,
+		ID:      id,
+	}
+}
+
+func (l *Link) place(r dispatch.Request, a answer) {
+	if l.conn == nil {
+		a <- l.core.Place(time.Now(), l.settings.Name, r)
+		return
+	}
+	l.waiting[r.ID] = waiting{
+		request:  r,
+		answer:   a,
+		deadline: time.Now().Add(decisionTimeout),
+	}
+	l.order = append(l.order, r.ID)
+	l.out.Places = append(l.out.Places, r)
+}
+
+// expire decides on requests whose decision is late.
+func (l *Link) expire(now time.Time) {
+	for len(l.order) > 0 {
+		id := l.order[0]
+		w, ok := l.waiting[id]
+		if ok && now.Before(w.deadline) {
+			return
+		}
+		l.order = l.order[1:]
+		if ok {
+			delete(l.waiting, id)
+			l.decideAlone(now, w)
+		}
+	}
+}
+
+func (l *Link) decideAlone(now time.Time, w waiting) {
+	d := l.core.Place(now, l.settings.Name, w.request)
+	if d.Upstream != "" && l.conn != nil {
+		l.out.Sent = append(l.out.Sent, wire.Sent{
+			ID:       w.request.ID,
+			Upstream: d.Upstream,
+			Prompt:   w.request.Prompt,
+		})
+	}
+	w.answer <- d
+}
+
+func (l *Link) linked(c *link.Conn[wire.Serve]) {
+	if l.conn != nil {
+		l.conn.Close()
+	}
+	l.conn = c
+	l.out = wire.Serve{}
+	for _, p := range l.core.Placements() {
+		l.out.Sent = append(l.out.Sent, wire.Sent{
+			ID:       p.ID,
+			Upstream: p.Upstream,
+			Prompt:   p.Prompt,
+			Begun:    p.Begun,
+		})
+	}
+	l.flush()
+	l.sendPing()
+	l.log.Info("linked to the leader")
+}
+
+func (l *Link) lost(c *link.Conn[wire.Serve]) {
+	if l.conn != c {
+		return
+	}
+	l.conn = nil
+	l.out = wire.Serve{}
+	clear(l.pings)
+	now := time.Now()
+	for _, id := range l.order {
+		if w, ok := l.waiting[id]; ok {
+			delete(l.waiting, id)
+			l.decideAlone(now, w)
+		}
+	}
+	l.order = nil
+	l.log.Info("link to the leader lost")
+}
+
+func (l *Link) sendPing() {
+	if l.conn == nil {
+		return
+	}
+	l.ping++
+	l.pings[l.ping] = steady.Now()
+	l.out.Ping = l.ping
+	l.flush()
+}
+
+// receive takes a frame of the leader.
+func (l *Link) receive(f wire.Serve) {
+	now := time.Now()
+	for _, d := range f.Decisions {
+		l.decided(now, d)
+	}
+	next := *l.view.Load()
+	changed := false
+	if f.Configuration != nil && f.Configuration.Version > l.version {
+		parsed, err := configuration.Parse(f.Configuration.Document)
+		if err != nil {
+			l.log.Error("configuration not understood", "version", f.Configuration.Version, "cause", err)
+		} else {
+			l.version = f.Configuration.Version
+			next.Table = configuration.NewTable(parsed)
+			l.core.SetConfiguration(next.Table)
+			changed = true
+			l.log.Info("configuration in force", "version", l.version)
+		}
+	}
+	if f.Upstreams != nil {
+		next.Upstreams = make(map[string]dispatch.Upstream, len(f.Upstreams.List))
+		for _, u := range f.Upstreams.List {
+			next.Upstreams[u.ID] = u
+		}
+		l.core.SetUpstreams(f.Upstreams.List)
+		changed = true
+	}
+	if f.Gateways > 0 {
+		next.Gateways = f.Gateways
+		l.core.SetPortion(1 / float64(f.Gateways))
+		changed = true
+	}
+	if f.Pong != 0 {
+		if asked, ok := l.pings[f.Pong]; ok {
+			next.ProvenUntil = max(next.ProvenUntil, asked.Add(l.settings.ProofLifetime))
+			changed = true
+		}
+		for n := range l.pings {
+			if n <= f.Pong {
+				delete(l.pings, n)
+			}
+		}
+	}
+	if f.Welcome != nil && len(f.Welcome.Controllers) > 0 {
+		l.known.Store(&f.Welcome.Controllers)
+	}
+	if changed {
+		l.view.Store(&next)
+	}
+}
+
+func (l *Link) decided(now time.Time, d dispatch.Decision) {
+	w, ok := l.waiting[d.ID]
+	if !ok {
+		return // decided here meanwhile, and the leader was told
+	}
+	delete(l.waiting, d.ID)
+	if d.Upstream != "" {
+		l.core.Sent(l.settings.Name, d.ID, d.Upstream, w.request.Prompt, false)
+	}
+	w.answer <- d
+	_ = now
+}
--- /dev/null
+++ b/gateway/internal/serve/handler.go
@@ -0,0 +1,210 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"baobabpaddle/fleet/call"
+	"baobabpaddle/fleet/configuration"
+	"baobabpaddle/fleet/dispatch"
+	"baobabpaddle/fleet/problem"
+	"baobabpaddle/fleet/telemetry"
+	"baobabpaddle/gateway/internal/controller"
+	"baobabpaddle/gateway/internal/upstream"
+)
+
+const (
+	// notReadyRetry is when to come back to a gateway that can't serve yet.
+	notReadyRetry = 300 * time.Millisecond
+	// rejectedRetry is when to come back after an upstream rejected a request.
+	rejectedRetry = 400 * time.Millisecond
+	// defaultBodyBytes bounds bodies while the configuration sets no bound.
+	defaultBodyBytes = 4 << 20
+)
+
+// Fleet places requests and knows the configuration.
+type Fleet interface {
+	View() *controller.View
+	Place(ctx context.Context, r dispatch.Request) dispatch.Decision
+	Begun(id uint64)
+	Ended(id uint64, ending dispatch.Ending)
+}
+
+// Handler answers callers.
+type Handler struct {
+	fleet    Fleet
+	client   *upstream.Client
+	protocol call.Protocol
+	zone     string
+	log      *slog.Logger
+	budget   *retryBudget
+
+	next     atomic.Uint64
+	inFlight atomic.Int64
+	draining atomic.Bool
+
+	requests *telemetry.Histograms
+	first    *telemetry.Histograms
+}
+
+// Settings configures a Handler.
+type Settings struct {
+	Zone  string
+	Retry RetrySettings
+}
+
+// New returns a handler.
+func New(s Settings, fleet Fleet, client *upstream.Client, protocol call.Protocol, metrics *telemetry.Metrics, log *slog.Logger) *Handler {
+	return &Handler{
+		fleet:    fleet,
+		client:   client,
+		protocol: protocol,
+		zone:     s.Zone,
+		log:      log,
+		budget:   newRetryBudget(s.Retry),
+		requests: metrics.Histograms("gateway_request_seconds"),
+		first:    metrics.Histograms("gateway_first_byte_seconds"),
+	}
+}
+
+// InFlight returns how many requests are being answered.
+func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
+
+// Drain has every connection closed after its answer.
+func (h *Handler) Drain() { h.draining.Store(true) }
+
+// refuse answers with a problem. Nothing has run.
+func (h *Handler) refuse(w http.ResponseWriter, status int, code problem.Code, detail string, retry time.Duration) {
+	if retry > 0 {
+		w.Header().Set("Retry-After", h.protocol.RetryAfter(retry))
+	}
+	problem.NotRunAt(status, code, detail).Write(w)
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	if h.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	view := h.fleet.View()
+	if view.Table == nil {
+		h.refuse(w, http.StatusServiceUnavailable, problem.NotReady, "no configuration yet", notReadyRetry)
+		return
+	}
+	x := &exchange{
+		handler: h,
+		view:    view,
+		w:       w,
+		r:       r,
+		arrived: arrived,
+	}
+	if x.admit() && x.readBody() {
+		x.run()
+	}
+}
+
+// exchange is one caller's request on its way.
+type exchange struct {
+	handler *Handler
+	view    *controller.View
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Time
+
+	route    *configuration.Route
+	service  string
+	team     string
+	call     call.Call
+	body     []byte
+	deadline time.Time
+	tried    []string
+
+	// What was passed on to the caller so far.
+	begun  bool
+	events eventScanner
+}
+
+// admit finds the route and the team, or answers.
+func (x *exchange) admit() bool {
+	h := x.handler
+	proven := x.view.Proven()
+	path, _, _ := strings.Cut(target(x.r), "?")
+	x.route = x.view.Table.Route(x.r.Host, path)
+	if x.route == nil {
+		if !proven {
+			h.refuse(x.w, http.StatusServiceUnavailable, problem.NotReady, "the configuration may be old", notReadyRetry)
+			return false
+		}
+		h.refuse(x.w, http.StatusNotFound, problem.NotFound, "no route", 0)
+		return false
+	}
+	var err error
+	if x.call, err = h.protocol.ReadCall(x.r.Header); err != nil {
+		h.refuse(x.w, http.StatusBadRequest, problem.MalformedBody, err.Error(), 0)
+		return false
+	}
+	if !x.route.WithoutKey && len(x.view.Table.Configuration.Teams) > 0 {
+		if !proven {
+			h.refuse(x.w, http.StatusServiceUnavailable, problem.NotReady, "the configuration may be old", notReadyRetry)
+			return false
+		}
+		team := x.view.Table.TeamOfKey(x.call.Key)
+		if team == nil {
+			h.refuse(x.w, http.StatusUnauthorized, problem.Unauthorized, "unknown key", 0)
+			return false
+		}
+		x.team = team.Name
+	}
+	wait := x.route.Timeout()
+	if x.call.Wait > 0 {
+		wait = min(wait, x.call.Wait)
+	}
+	x.deadline = x.arrived.Add(wait)
+	x.service = x.route.Choose(rand.Float64())
+	return true
+}
+
+// readBody reads the whole body, or answers.
+func (x *exchange) readBody() bool {
+	if x.r.Body == nil || x.r.Body == http.NoBody || x.r.ContentLength == 0 {
+		return true
+	}
+	limit := x.view.Table.Configuration.Limits.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if x.r.ContentLength > limit {
+		x.handler.refuse(x.w, http.StatusRequestEntityTooLarge, problem.BodyTooLarge, "the body is too large", 0)
+		return false
+	}
+	if x.r.ContentLength > 0 {
+		x.body = make([]byte, x.r.ContentLength)
+		if _, err := io.ReadFull(x.r.Body, x.body); err != nil {
+			x.handler.refuse(x.w, http.StatusBadRequest, problem.BodyTruncated, "the body ended early", 0)
+			return false
+		}
+		return true
+	}
+	var err error
+	x.body, err = io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		x.handler.refuse(x.w, http.StatusRequestEntityTooLarge, problem.BodyTooLarge, "the body is too large", 0)
+		return false
+	}
+	if err != nil {
+		x.handler.refuse(x.w, http.StatusBadRequest, problem.BodyTruncated, "the body ended early", 0)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/gateway/internal/upstream/exchange.go
@@ -0,0 +1,202 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Answer is an upstream's answer. It must be closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length is the length of the body; -1 is unknown.
+	Length int64
+
+	client  *Client
+	conn    *conn
+	body    io.ReadCloser
+	framed  bool       // the body's end shows without the connection's end
+	written chan error // of a request that is still being written, or nil
+	stop    func() bool
+	close   bool // the upstream closes the connection
+	ended   bool
+}
+
+// longAgo is a deadline that ends all reads and writes.
+var longAgo = time.Unix(1, 0)
+
+// Send sends a request to an address and returns the answer once its head is
+// there. The context's end breaks the exchange off. After ErrUnreachable nothing
+// was sent; after any other error the upstream may have the request.
+func (c *Client) Send(ctx context.Context, address string, r Request) (*Answer, error) {
+	k := c.take(address)
+	if k == nil {
+		var err error
+		if k, err = c.dial(ctx, address); err != nil {
+			return nil, err
+		}
+	}
+	if err := k.SetDeadline(r.Deadline); err != nil {
+		k.Close()
+		return nil, merry.Prependf(ErrUnreachable, "%v", err)
+	}
+	a := &Answer{
+		client: c,
+		conn:   k,
+		stop:   context.AfterFunc(ctx, func() { _ = k.SetDeadline(longAgo) }),
+	}
+	if err := a.exchange(r); err != nil {
+		a.abandon()
+		return nil, merry.Prependf(ErrBroken, "%v", err)
+	}
+	return a, nil
+}
+
+// exchange writes the request and reads the head of its answer.
+func (a *Answer) exchange(r Request) error {
+	head := append(r.Head, "\r\n"...)
+	if len(head)+len(r.Body) <= inlineBytes {
+		if err := writeAll(a.conn, head, r.Body); err != nil {
+			return err
+		}
+	} else {
+		a.written = make(chan error, 1)
+		go func() { a.written <- writeAll(a.conn, head, r.Body) }()
+	}
+	for range maxStrays + 1 {
+		response, err := a.readHead(r.Method)
+		if err != nil {
+			return err
+		}
+		if id := a.client.attempt(response.StatusCode, response.Header); id == "" || id == r.ID {
+			a.accept(response)
+			return nil
+		}
+		if !skip(response) {
+			return ErrStray
+		}
+	}
+	return ErrStray
+}
+
+func writeAll(w net.Conn, head, body []byte) error {
+	buffers := net.Buffers{head, body}
+	_, err := buffers.WriteTo(w)
+	return err
+}
+
+// readHead reads the next final response.
+func (a *Answer) readHead(method string) (*http.Response, error) {
+	asked := &http.Request{
+		Method: method,
+	}
+	for {
+		response, err := http.ReadResponse(a.conn.reader, asked)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+		// Interim responses say nothing about the answer.
+	}
+}
+
+// skip reads over an answer that belongs to another request.
+func skip(response *http.Response) bool {
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return false // it ends with the connection
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes))
+	return err == nil && n < maxStrayBytes
+}
+
+func (a *Answer) accept(response *http.Response) {
+	a.Status = response.StatusCode
+	a.Header = response.Header
+	a.Length = response.ContentLength
+	a.body = response.Body
+	a.framed = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	a.close = response.Close
+}
+
+// Framed reports whether the body's end can be told from a broken connection.
+func (a *Answer) Framed() bool { return a.framed }
+
+// Closing reports whether the upstream closes the connection after the answer.
+func (a *Answer) Closing() bool { return a.close }
+
+// Buffered returns how many bytes have arrived and wait to be read.
+func (a *Answer) Buffered() int { return a.conn.reader.Buffered() }
+
+// Read reads the body. An error other than io.EOF tells that it is not complete.
+func (a *Answer) Read(p []byte) (int, error) {
+	n, err := a.body.Read(p)
+	if err == io.EOF {
+		a.ended = true
+	}
+	return n, err
+}
+
+// Close ends the exchange. The connection is kept if the answer was read to its
+// end and nothing followed it; otherwise it is closed, which tells the upstream
+// to stop.
+func (a *Answer) Close() {
+	if a.conn == nil {
+		return
+	}
+	if !a.ended || !a.framed || a.close || a.conn.reader.Buffered() > 0 || !a.stop() || !a.bodySent() {
+		a.abandon()
+		return
+	}
+	k := a.conn
+	a.conn = nil
+	if k.SetDeadline(time.Time{}) != nil {
+		k.Close()
+		return
+	}
+	k.used = true
+	k.idleUntil = time.Now().Add(idleTime(a.Header))
+	a.client.put(k)
+}
+
+// bodySent reports whether the request's body is written to its end, waiting a
+// little for it.
+func (a *Answer) bodySent() bool {
+	if a.written == nil {
+		return true
+	}
+	select {
+	case err := <-a.written:
+		return err == nil
+	case <-time.After(bodyGrace):
+		return false
+	}
+}
+
+func (a *Answer) abandon() {
+	a.stop()
+	a.conn.Close()
+	a.conn = nil
+}
+
+// idleTime returns how long a connection may wait for another request.
+func idleTime(h http.Header) time.Duration {
+	for _, v := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(v), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil && seconds >= 0 {
+			return min(maxIdle, time.Duration(keepAlivePart*float64(seconds)*float64(time.Second)))
+		}
+	}
+	return maxIdle
+}
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -9,6 +9,7 @@
 type commandLine struct {
 	Version       program.VersionFlag                       `help:"Print the version."`
 	Run           runCommand                                `cmd:"" help:"Run the gateway."`
+	Serve         serveCommand                              `cmd:"" help:"Run a gateway that reaches upstreams by itself."`
 	CheckSettings program.CheckCommand[Settings, *Settings] `cmd:"" help:"Check a settings file."`
 }
 
--- /dev/null
+++ b/gateway/serve.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"baobabpaddle/fleet/credential"
+	"baobabpaddle/fleet/link"
+	"baobabpaddle/fleet/program"
+	"baobabpaddle/fleet/telemetry"
+	"baobabpaddle/gateway/internal/controller"
+	"baobabpaddle/gateway/internal/serve"
+	"baobabpaddle/gateway/internal/upstream"
+	"baobabpaddle/platform"
+)
+
+type serveCommand struct {
+	program.DeploymentSettingsFlag
+}
+
+// Run runs the gateway until a signal and then drains it.
+func (c *serveCommand) Run() error {
+	return program.Deploy(c.Path(platform.SettingsPath), serveCallers)
+}
+
+// serving are the running parts of a gateway that serves.
+type serving struct {
+	settings ServeSettings
+	log      *slog.Logger
+	link     *controller.Link
+	client   *upstream.Client
+	handler  *serve.Handler
+	metrics  *telemetry.Metrics
+	draining atomic.Bool
+}
+
+func serveCallers(ctx context.Context, s ServeSettings, changes <-chan ServeSettings) error {
+	log := telemetry.NewLogger(os.Stdout, "gateway "+s.Name)
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryMB) * (1 << 20)))
+	}
+	proof, err := credential.Load(s.Credential, credential.Peer{
+		Role: credential.Gateway,
+		Name: s.Name,
+	})
+	if err != nil {
+		return err
+	}
+	p := newServing(s, proof, log)
+	callers, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return merry.Prepend(err, "listen")
+	}
+	balancer, err := net.Listen("tcp", s.ReadyListen)
+	if err != nil {
+		return merry.Prepend(err, "ready_listen")
+	}
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	if err := program.Admin(life, s.AdminListen, p.metrics, p.ready); err != nil {
+		return err
+	}
+	go p.link.Run(life)
+	go p.prune(life)
+	server := program.NewServer(p.handler)
+	server.IdleTimeout = idleTimeout
+	go server.Serve(callers)
+	ready := program.NewServer(http.HandlerFunc(p.answerReady))
+	go ready.Serve(balancer)
+	log.Info("gateway started", "listen", s.Listen)
+	go func() {
+		for changed := range changes {
+			log.Info("settings read again", "seeds", changed.Seeds)
+			p.link.SetSeeds(changed.peers())
+		}
+	}()
+	<-ctx.Done()
+	p.drain(server)
+	log.Info("gateway stopped")
+	return nil
+}
+
+func newServing(s ServeSettings, proof *credential.Credential, log *slog.Logger) *serving {
+	p := &serving{
+		settings: s,
+		log:      log,
+		metrics:  telemetry.NewMetrics(),
+	}
+	p.link = controller.New(controller.Settings{
+		// Another start has another name, so that its requests aren't mixed up.
+		Name:          s.Name + "/" + strconv.FormatInt(time.Now().UnixNano(), 36),
+		Zone:          s.Zone,
+		Seeds:         s.peers(),
+		ProofLifetime: s.proofLifetime(),
+	}, link.Dialer{
+		Credential:  proof,
+		Heartbeat:   serveLinkHeartbeat,
+		DialTimeout: serveDialTimeout,
+		Stats:       &link.Stats{},
+	}, log)
+	protocol := platform.Headers{}
+	p.client = upstream.New(func(status int, h http.Header) string { return protocol.ReadReply(status, h).ID })
+	p.handler = serve.New(serve.Settings{
+		Zone: s.Zone,
+		Retry: serve.RetrySettings{
+			Ratio:  s.RetryRatio,
+			Slack:  s.RetrySlack,
+			Window: time.Duration(s.RetryWindowSeconds * float64(time.Second)),
+		},
+	}, p.link, p.client, protocol, p.metrics, log)
+	return p
+}
+
+func (p *serving) prune(ctx context.Context) {
+	ticker := time.NewTicker(pruneInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			p.client.Prune(now)
+		}
+	}
+}
+
+func (p *serving) ready() error {
+	if p.draining.Load() {
+		return merry.New("draining")
+	}
+	if !p.link.View().Ready() {
+		return merry.New("no configuration that is known to be recent, or no upstreams")
+	}
+	return nil
+}
+
+func (p *serving) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if err := p.ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// drain stops being ready, keeps answering until the balancer has noticed, and
+// waits for what is in flight.
+func (p *serving) drain(server *http.Server) {
+	started := time.Now()
+	p.draining.Store(true)
+	p.handler.Drain()
+	p.log.Info("gateway drains", "in_flight", p.handler.InFlight())
+	end := started.Add(time.Duration(gracePart * p.settings.GraceSeconds * float64(time.Second)))
+	for time.Now().Before(end) {
+		if p.handler.InFlight() == 0 && time.Since(started) > unreadyTime {
+			break
+		}
+		time.Sleep(drainLook)
+	}
+	if left := p.handler.InFlight(); left > 0 {
+		p.log.Warn("requests are cut off by the end of the grace period", "in_flight", left)
+	}
+	server.Close()
+}
--- /dev/null
+++ b/gateway/serve_settings.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"baobabpaddle/fleet/credential"
+	"baobabpaddle/fleet/settings"
+)
+
+// ServeSettings are the settings of a gateway that reaches upstreams by itself.
+type ServeSettings struct {
+	// Name is the gateway's name in logs.
+	Name string `json:"name"`
+	// Zone is the availability zone.
+	Zone string `json:"zone"`
+	// Listen is the address for callers.
+	Listen string `json:"listen"`
+	// ReadyListen is where the platform's balancer asks for readiness.
+	ReadyListen string `json:"ready_listen"`
+	// AdminListen is the loopback address for metrics and health; empty means none.
+	AdminListen string `json:"admin_listen,omitempty"`
+	// Seeds are addresses for operators of some controllers.
+	Seeds []string `json:"seeds"`
+	// Port is where the fleet's processes reach controllers, on all hosts.
+	Port int `json:"port"`
+	// MemoryMB bounds the memory of the process; zero is no bound.
+	MemoryMB int `json:"memory_mb,omitempty"`
+	// GraceSeconds is the time from a signal to stop until the process is killed.
+	GraceSeconds float64 `json:"grace_seconds"`
+	// RevokeMillis is within which time a key that was taken away must not be
+	// served any more, wherever the gateway stands.
+	RevokeMillis int `json:"revoke_ms"`
+	// RetryRatio, RetrySlack and RetryWindowSeconds bound the requests that the
+	// whole fleet sends to a second upstream.
+	RetryRatio         float64 `json:"retry_ratio"`
+	RetrySlack         float64 `json:"retry_slack"`
+	RetryWindowSeconds float64 `json:"retry_window_seconds"`
+	// Credential proves the gateway to others.
+	Credential credential.Settings `json:"credential"`
+}
+
+// Limits of the settings.
+const (
+	maxPort         = 65535
+	maxMemoryMB     = 1 << 20
+	minRevokeMillis = 1000
+	maxRevokeMillis = 3_600_000
+)
+
+// Check implements settings.Checker.
+func (s *ServeSettings) Check() error {
+	if s.GraceSeconds <= 0 {
+		return merry.New("grace_seconds: must be over zero")
+	}
+	if s.RetryRatio < 0 || s.RetrySlack < 0 || s.RetryWindowSeconds <= 0 {
+		return merry.New("retry_ratio: retry_ratio and retry_slack must not be negative, retry_window_seconds must be over zero")
+	}
+	return settings.FirstError(
+		settings.NotEmpty("name", s.Name),
+		settings.NotEmpty("zone", s.Zone),
+		settings.Address("listen", s.Listen),
+		settings.Address("ready_listen", s.ReadyListen),
+		settings.OptionalLoopback("admin_listen", s.AdminListen),
+		settings.Addresses("seeds", s.Seeds),
+		settings.Between("port", s.Port, 1, maxPort),
+		settings.Between("memory_mb", s.MemoryMB, 0, maxMemoryMB),
+		settings.Between("revoke_ms", s.RevokeMillis, minRevokeMillis, maxRevokeMillis),
+		s.Credential.Check(),
+	)
+}
+
+// peers returns the seeds' addresses for the fleet's processes.
+func (s *ServeSettings) peers() []string {
+	out := make([]string, len(s.Seeds))
+	for i, seed := range s.Seeds {
+		out[i] = netip.MustParseAddrPort(seed).Addr().String() + ":" + strconv.Itoa(s.Port)
+	}
+	return out
+}
+
+// proofLifetime is how long after a proof that the configuration is the newest
+// keys are served.
+func (s *ServeSettings) proofLifetime() time.Duration {
+	return time.Duration(proofPart * float64(s.RevokeMillis) * float64(time.Millisecond))
+}
+
+// Timings of a gateway that serves.
+const (
+	// proofPart leaves the rest of the time for clocks that run unevenly.
+	proofPart          = 0.85
+	serveLinkHeartbeat = 300 * time.Millisecond
+	serveDialTimeout   = time.Second
+	// lookInterval is how often the balancer asks for readiness.
+	lookInterval = time.Second
+	// unreadyTime is how long new connections may still come after readiness
+	// ended: the balancer leaves a gateway out at its second look.
+	unreadyTime = 2*lookInterval + 500*time.Millisecond
+	// gracePart is the part of the grace period that a drain may take.
+	gracePart = 0.94
+	// drainLook is how often a draining gateway looks whether all is answered.
+	drainLook     = 50 * time.Millisecond
+	pruneInterval = time.Second
+	// idleTimeout is how long callers' connections may wait for a request.
+	idleTimeout = time.Minute
+	// memoryPart is the part of the process's memory that the runtime may use
+	// before it collects garbage harder.
+	memoryPart = 0.8
+)
