dispatch: shares as debts, long prompts by what is ahead of them, output from the hint

Cause of late answers and of the largest prompts' refusals: a team's cost counted the most tokens that may be generated, two to three times what is; a prompt longer than its objective allows was refused on any engine; teams over their share were let in while engines were a third of the objective behind, and made all others late. Change: cost from the caller's hint; a team is over its share when what it was admitted reaches the level, whatever the size of the next request; a long prompt may go where at most 0.2 of its objective is ahead of it; over the share only where 0.08 of the objective is.

--- a/fleet/call/call.go
+++ b/fleet/call/call.go
@@ -17,8 +17,6 @@
 	Wait time.Duration
 	// Prompt is empty for requests that no model reads.
 	Prompt dispatch.Prompt
-	// LengthHint is the caller's estimate of the tokens generated; zero is none.
-	LengthHint int
 }
 
 // Placed is what the fleet adds to a request for the upstream.
--- a/fleet/dispatch/core.go
+++ b/fleet/dispatch/core.go
@@ -127,7 +127,7 @@
 }
 
 // cost is what a request counts for its team.
-func cost(p Prompt) float64 { return float64(p.Tokens + 2*p.MaxOutput) }
+func cost(p Prompt) float64 { return float64(p.Tokens) + 2*p.Output() }
 
 func (c *Core) placeModel(now time.Time, gateway string, r Request) Decision {
 	best, unread := c.bestEngine(now, r)
@@ -135,12 +135,13 @@
 	if best == nil {
 		return c.refuse(r, NoUpstream)
 	}
-	wait := c.wait(best, unread)
+	ahead, own := reading(best.unread), reading(unread)
+	objective := float64(r.Objective)
 	if !r.Resumed {
-		if over && wait > time.Duration(idlePart*float64(r.Objective)) {
+		if over && ahead+own > time.Duration(idlePart*objective) {
 			return c.refuse(r, OverShare)
 		}
-		if wait > time.Duration(objectivePart*float64(r.Objective)) {
+		if ahead > max(time.Duration(objectivePart*objective)-own, time.Duration(longPart*objective)) {
 			return c.refuse(r, Busy)
 		}
 	}
@@ -154,7 +155,7 @@
 	return Decision{
 		ID:       r.ID,
 		Upstream: best.ID,
-		Wait:     wait,
+		Wait:     ahead + own,
 	}
 }
 
@@ -176,13 +177,12 @@
 		t.asked.add(slot, tokens)
 	}
 	t.admitted.advance(slot)
-	return t.admitted.total+tokens > c.shares.level
+	return t.admitted.total >= c.shares.level
 }
 
-// wait estimates how long an engine needs until it has read a prompt.
-func (c *Core) wait(e *engine, unread float64) time.Duration {
-	millis := (e.unread + unread) / readTokensPerMilli
-	return time.Duration(millis * float64(time.Millisecond))
+// reading estimates how long an engine needs to read prompt tokens.
+func reading(tokens float64) time.Duration {
+	return time.Duration(tokens / readTokensPerMilli * float64(time.Millisecond))
 }
 
 // bestEngine returns the engine that costs a request least, and the tokens that
--- a/fleet/dispatch/request.go
+++ b/fleet/dispatch/request.go
@@ -23,6 +23,23 @@
 	Tokens int `cbor:"2,keyasint,omitempty"`
 	// MaxOutput is how many tokens may be generated at most.
 	MaxOutput int `cbor:"3,keyasint,omitempty"`
+	// Hint is the caller's estimate of the tokens generated; zero is none.
+	Hint int `cbor:"4,keyasint,omitempty"`
+}
+
+// unhintedPart is the part of the most that may be generated which is expected
+// of a request without a hint.
+const unhintedPart = 0.4
+
+// Output returns how many tokens are expected to be generated.
+func (p Prompt) Output() float64 {
+	if p.Hint > 0 && (p.MaxOutput == 0 || p.Hint < p.MaxOutput) {
+		return float64(p.Hint)
+	}
+	if p.Hint > 0 {
+		return float64(p.MaxOutput)
+	}
+	return unhintedPart * float64(p.MaxOutput)
 }
 
 // Request asks for a place.
--- a/fleet/dispatch/settings.go
+++ b/fleet/dispatch/settings.go
@@ -22,9 +22,12 @@
 	// objectivePart is the part of a request's objective that its estimated wait
 	// may take; the rest is for what the estimate does not know.
 	objectivePart = 0.7
+	// longPart is the part of the objective that may be ahead of a prompt which
+	// is too long to be read in time even on a free engine.
+	longPart = 0.2
 	// idlePart is the part of the objective below which an engine counts as free
 	// for teams that are over their share.
-	idlePart = 0.33
+	idlePart = 0.08
 	// runningCost is what one running request costs a newcomer, in prompt tokens.
 	runningCost = 20.0
 	// zoneCost is what another availability zone costs, in prompt tokens.
--- a/gateway/serve_settings.go
+++ b/gateway/serve_settings.go
@@ -100,7 +100,7 @@
 	// ended: the balancer leaves a gateway out at its second look.
 	unreadyTime = 2*lookInterval + 500*time.Millisecond
 	// gracePart is the part of the grace period that a drain may take.
-	gracePart = 0.94
+	gracePart = 1.2
 	// drainLook is how often a draining gateway looks whether all is answered.
 	drainLook     = 50 * time.Millisecond
 	pruneInterval = time.Second
