dispatch: reading a shared piece again costs eight times its tokens

The choice of engine weighed them as any other tokens, so a request went to whichever engine was least behind.

--- a/fleet/dispatch/core.go
+++ b/fleet/dispatch/core.go
@@ -194,8 +194,8 @@
 		if !e.usable(now, r.Repeatable) || slices.Contains(r.Tried, e.ID) {
 			continue
 		}
-		unread := e.kept.unreadTokens(r.Prompt)
-		total := e.unread + unread + runningCost*float64(e.running)
+		unread, shared := e.kept.unreadTokens(r.Prompt)
+		total := e.unread + unread + runningCost*float64(e.running) + rereadCost*shared
 		if e.Zone != r.Zone {
 			total += zoneCost
 		}
@@ -269,7 +269,7 @@
 	}
 	unread := 0.0
 	if !begun && prompt.Tokens > 0 {
-		unread = e.kept.unreadTokens(prompt)
+		unread, _ = e.kept.unreadTokens(prompt)
 	}
 	c.place(Key{
 		Gateway: gateway,
--- a/fleet/dispatch/settings.go
+++ b/fleet/dispatch/settings.go
@@ -30,6 +30,9 @@
 	idlePart = 0.08
 	// runningCost is what one running request costs a newcomer, in prompt tokens.
 	runningCost = 20.0
+	// rereadCost is what reading a token of a shared piece costs, beside the time
+	// that it takes, in prompt tokens.
+	rereadCost = 8.0
 	// zoneCost is what another availability zone costs, in prompt tokens.
 	zoneCost = 300.0
 	// queuePerSlot is how many requests may wait at a plain service's upstream
--- a/fleet/dispatch/upstream.go
+++ b/fleet/dispatch/upstream.go
@@ -51,17 +51,25 @@
 	tokens float64
 }
 
-// unreadTokens returns how many of the prompt's tokens the engine has to read.
-func (p *prefixes) unreadTokens(prompt Prompt) float64 {
-	left := float64(prompt.Tokens)
-	for _, part := range prompt.Parts {
+// unreadTokens returns how many of the prompt's tokens the engine has to read,
+// and how many of these belong to pieces that other requests may share: all but
+// the last piece.
+func (p *prefixes) unreadTokens(prompt Prompt) (unread, shared float64) {
+	unread = float64(prompt.Tokens)
+	kept := 0
+	for kept < len(prompt.Parts) {
+		part := prompt.Parts[kept]
 		if _, ok := p.index[part.ID]; !ok {
 			break
 		}
-		left -= float64(part.Tokens)
+		unread -= float64(part.Tokens)
+		kept++
+	}
+	for i := kept; i < len(prompt.Parts)-1; i++ {
+		shared += float64(prompt.Parts[i].Tokens)
 	}
 	// The last token is always read, to generate from.
-	return max(left, 1)
+	return max(unread, 1), shared
 }
 
 // use notes that the engine has read a prompt.
