gateway: a draining gateway refuses what would outlast it

Such a request is refused at once with a promise and comes back elsewhere; the estimate is the mean time per token of the gateway's own streams with a margin.

--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -25,6 +25,8 @@
 	notReadyRetry = 300 * time.Millisecond
 	// rejectedRetry is when to come back after an upstream rejected a request.
 	rejectedRetry = 400 * time.Millisecond
+	// drainRetry is when to come back, elsewhere, from a gateway that stops.
+	drainRetry = 20 * time.Millisecond
 	// defaultBodyBytes bounds bodies while the configuration sets no bound.
 	defaultBodyBytes = 4 << 20
 )
@@ -48,7 +50,8 @@
 
 	next     atomic.Uint64
 	inFlight atomic.Int64
-	draining atomic.Bool
+	drainEnd atomic.Int64 // Unix nanoseconds; zero while not draining
+	pace     pace
 
 	requests *telemetry.Histograms
 	first    *telemetry.Histograms
@@ -77,8 +80,23 @@
 // InFlight returns how many requests are being answered.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
-// Drain has every connection closed after its answer.
-func (h *Handler) Drain() { h.draining.Store(true) }
+// Drain has every connection closed after its answer, and refuses requests whose
+// answers would not be whole by the end.
+func (h *Handler) Drain(end time.Time) { h.drainEnd.Store(end.UnixNano()) }
+
+// tooLong reports whether a request would outlast the drain.
+func (x *exchange) tooLong() bool {
+	end := x.handler.drainEnd.Load()
+	if end == 0 {
+		return false
+	}
+	left := time.Until(time.Unix(0, end))
+	longest := time.Until(x.deadline)
+	if x.route.Kind == configuration.Stream && x.call.Prompt.MaxOutput > 0 {
+		longest = min(longest, x.route.Objective()+x.handler.pace.expect(x.call.Prompt.MaxOutput))
+	}
+	return longest > left
+}
 
 // refuse answers with a problem. Nothing has run.
 func (h *Handler) refuse(w http.ResponseWriter, status int, code problem.Code, detail string, retry time.Duration) {
@@ -93,7 +111,7 @@
 	arrived := time.Now()
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
-	if h.draining.Load() {
+	if h.drainEnd.Load() != 0 {
 		w.Header().Set("Connection", "close")
 	}
 	view := h.fleet.View()
@@ -171,6 +189,10 @@
 	}
 	x.deadline = x.arrived.Add(wait)
 	x.service = x.route.Choose(rand.Float64())
+	if x.tooLong() {
+		h.refuse(x.w, http.StatusServiceUnavailable, problem.Draining, "this gateway stops soon", drainRetry)
+		return false
+	}
 	return true
 }
 
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -293,12 +293,14 @@
 	buffer := make([]byte, readBytes)
 	control := http.NewResponseController(x.w)
 	first := true
+	var began time.Time
 	for {
 		n, err := answer.Read(buffer)
 		if n > 0 {
 			if whole := x.events.next(buffer[:n]); len(whole) > 0 {
 				if first {
 					first = false
+					began = time.Now()
 					x.handler.fleet.Begun(id)
 				}
 				x.begin(answer, -1)
@@ -311,6 +313,7 @@
 			}
 		}
 		if err == io.EOF {
+			x.handler.pace.saw(x.tokens(), time.Since(began))
 			return x.streamEnded(answer)
 		}
 		if err != nil {
@@ -319,6 +322,20 @@
 	}
 }
 
+// tokens returns about how many tokens the stream has brought: identifiers of
+// events count from one.
+func (x *exchange) tokens() int {
+	events, err := strconv.Atoi(string(x.events.last))
+	if err != nil {
+		return 0
+	}
+	perEvent := 1
+	if s := x.view.Table.Service(x.service); s != nil && s.Engine != nil {
+		perEvent = max(s.Engine.TokensPerEvent, 1)
+	}
+	return events * perEvent
+}
+
 // streamEnded judges a stream whose connection or framing says that it is over.
 func (x *exchange) streamEnded(answer *upstream.Answer) outcome {
 	if x.events.torn() {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -156,10 +156,10 @@
 func (p *serving) drain(server *http.Server) {
 	started := time.Now()
 	p.draining.Store(true)
-	p.handler.Drain()
+	end := started.Add(time.Duration(p.settings.GraceSeconds * float64(time.Second)))
+	p.handler.Drain(end)
 	p.log.Info("gateway drains", "in_flight", p.handler.InFlight())
-	end := started.Add(time.Duration(gracePart * p.settings.GraceSeconds * float64(time.Second)))
-	for time.Now().Before(end) {
+	for time.Now().Before(end.Add(killMargin)) {
 		if p.handler.InFlight() == 0 && time.Since(started) > unreadyTime {
 			break
 		}
--- a/gateway/serve_settings.go
+++ b/gateway/serve_settings.go
@@ -99,8 +99,10 @@
 	// unreadyTime is how long new connections may still come after readiness
 	// ended: the balancer leaves a gateway out at its second look.
 	unreadyTime = 2*lookInterval + 500*time.Millisecond
-	// gracePart is the part of the grace period that a drain may take.
-	gracePart = 1.2
+	// killMargin is how long after the grace period a drain goes on, in case that
+	// the platform kills the process later than it said: nothing is won by cutting
+	// answers off before.
+	killMargin = 2 * time.Second
 	// drainLook is how often a draining gateway looks whether all is answered.
 	drainLook     = 50 * time.Millisecond
 	pruneInterval = time.Second
