dispatch: over the share, teams that were given less go first

FAIR: of two teams over their share one was served three times what the other was, since free engines took whichever requests were small. The bound for teams over their share is now wider for those that were given less than the mean of the refused teams and narrower for those given more.

--- a/fleet/dispatch/core.go
+++ b/fleet/dispatch/core.go
@@ -138,7 +138,8 @@
 	ahead, own := reading(best.unread), reading(unread)
 	objective := float64(r.Objective)
 	if !r.Resumed {
-		if over && ahead+own > time.Duration(idlePart*objective) {
+		if over && ahead+own > time.Duration(idlePart*objective*c.shares.lenience(c.shares.team(r.Team))) {
+			c.shares.team(r.Team).refused = c.shares.slot(now)
 			return c.refuse(r, OverShare)
 		}
 		if ahead > max(time.Duration(objectivePart*objective)-own, time.Duration(longPart*objective)) {
--- a/fleet/dispatch/share.go
+++ b/fleet/dispatch/share.go
@@ -5,8 +5,15 @@
 	"time"
 )
 
-// buckets is how many parts a window of shares has.
-const buckets = 30
+const (
+	// buckets is how many parts a window of shares has.
+	buckets = 30
+	// hungryBuckets is for how many of them a team that was refused counts as one
+	// that wants more.
+	hungryBuckets = 8
+	// maxLenience bounds how far a team that received less is preferred.
+	maxLenience = 4.0
+)
 
 // window sums tokens over a sliding span of time.
 type window struct {
@@ -41,6 +48,8 @@
 type team struct {
 	asked    window
 	admitted window
+	// refused is the slot in which a request was last refused for the share.
+	refused int64
 }
 
 // shares holds what teams asked for and were admitted within the window.
@@ -51,6 +60,9 @@
 	level     float64
 	levelSlot int64
 	scratch   []float64
+	// hungry is the mean of what those teams were admitted that were refused for
+	// their share lately; zero when there are none.
+	hungry float64
 }
 
 func newShares(span time.Duration) *shares {
@@ -79,6 +91,7 @@
 	}
 	s.levelSlot = slot
 	s.scratch = s.scratch[:0]
+	hungry, sum := 0, 0.0
 	for name, t := range s.teams {
 		t.asked.advance(slot)
 		t.admitted.advance(slot)
@@ -87,8 +100,23 @@
 			continue
 		}
 		s.scratch = append(s.scratch, t.asked.total)
+		if slot-t.refused <= hungryBuckets {
+			hungry++
+			sum += t.admitted.total
+		}
 	}
 	s.level = level(s.scratch, capacity)
+	s.hungry = sum / float64(max(hungry, 1))
+}
+
+// lenience returns by how much the bound for teams over their share is widened
+// or narrowed for this team, so that teams which are refused receive alike.
+func (s *shares) lenience(t *team) float64 {
+	if s.hungry <= 0 || t.admitted.total <= 0 {
+		return 1
+	}
+	ratio := s.hungry / t.admitted.total
+	return min(ratio*ratio, maxLenience)
 }
 
 // level returns the max-min level: the largest amount that each may have so that
