--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # demo: set up and do the main job. test: set up and run the tests.
-MODULES := baobabctl bench controller fleet gateway sidecar standin
+MODULES := baobabctl bench controller fleet gateway platform sidecar standin
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 BIN := bin
 
--- a/fleet/dispatch/core.go
+++ b/fleet/dispatch/core.go
@@ -25,6 +25,7 @@
 	engines  map[string]*engine
 	placed   map[Key]*placed
 	shares   *shares
+	classes  map[string]*class
 }
 
 // New returns a core without a configuration or upstreams. The random source
@@ -43,6 +44,7 @@
 		engines:  make(map[string]*engine),
 		placed:   make(map[Key]*placed),
 		shares:   newShares(settings.ShareWindow),
+		classes:  make(map[string]*class),
 	}
 }
 
@@ -52,6 +54,7 @@
 // SetConfiguration puts a configuration in force.
 func (c *Core) SetConfiguration(t *configuration.Table) {
 	c.table = t
+	c.classes = make(map[string]*class) // they may have other names now
 	for _, e := range c.engines {
 		e.kept.capacity = c.keptTokens(e.Service)
 	}
@@ -136,16 +139,19 @@
 		return c.refuse(r, NoUpstream)
 	}
 	ahead, own := reading(best.unread), reading(unread)
+	kind := c.class(r.Class)
+	size := reading(kind.see(now, unread))
 	objective := float64(r.Objective)
 	if !r.Resumed {
-		if over && ahead+own > time.Duration(idlePart*objective*c.shares.lenience(c.shares.team(r.Team))) {
+		if over && ahead+size > time.Duration(idlePart*objective*c.shares.lenience(c.shares.team(r.Team))) {
 			c.shares.team(r.Team).refused = c.shares.slot(now)
 			return c.refuse(r, OverShare)
 		}
-		if ahead > max(time.Duration(objectivePart*objective)-own, time.Duration(longPart*objective)) {
+		if ahead > max(time.Duration(objectivePart*objective)-size, time.Duration(longPart*objective)) {
 			return c.refuse(r, Busy)
 		}
 	}
+	kind.admit(unread)
 	if r.Team != "" {
 		c.shares.team(r.Team).admitted.add(c.shares.slot(now), cost(r.Prompt))
 	}
@@ -181,6 +187,16 @@
 	return t.admitted.total >= c.shares.level
 }
 
+// class returns what is known of a class's sizes.
+func (c *Core) class(name string) *class {
+	k := c.classes[name]
+	if k == nil {
+		k = &class{}
+		c.classes[name] = k
+	}
+	return k
+}
+
 // reading estimates how long an engine needs to read prompt tokens.
 func reading(tokens float64) time.Duration {
 	return time.Duration(tokens / readTokensPerMilli * float64(time.Millisecond))
--- a/fleet/dispatch/request.go
+++ b/fleet/dispatch/request.go
@@ -46,6 +46,8 @@
 type Request struct {
 	ID      uint64 `cbor:"1,keyasint"`
 	Service string `cbor:"2,keyasint"`
+	// Class groups requests of one kind, whose sizes are compared.
+	Class string `cbor:"11,keyasint,omitempty"`
 	// Team is empty on routes that need no key.
 	Team string `cbor:"3,keyasint,omitempty"`
 	// Zone is where the asking gateway stands.
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -79,6 +79,7 @@
 	return dispatch.Request{
 		ID:         h.next.Add(1),
 		Service:    x.service,
+		Class:      x.route.Name,
 		Team:       x.team,
 		Zone:       h.zone,
 		Prompt:     x.call.Prompt,
