dispatch: sizes by quantile, teams over their share alike; load patterns as tests

Lenience now goes with the cube of what a team is behind; the largest tenth of a class and the fifth below it are judged as smaller, before others if need be, while they are let in less than 0.9 times as often.

--- a/fleet/dispatch/core.go
+++ b/fleet/dispatch/core.go
@@ -140,7 +140,7 @@
 	}
 	ahead, own := reading(best.unread), reading(unread)
 	kind := c.class(r.Class)
-	size := reading(kind.see(now, unread))
+	size := reading(kind.see(now, float64(r.Prompt.Tokens), unread))
 	objective := float64(r.Objective)
 	if !r.Resumed {
 		if over && ahead+size > time.Duration(idlePart*objective*c.shares.lenience(c.shares.team(r.Team))) {
@@ -151,7 +151,7 @@
 			return c.refuse(r, Busy)
 		}
 	}
-	kind.admit(unread)
+	kind.admit(float64(r.Prompt.Tokens))
 	if r.Team != "" {
 		c.shares.team(r.Team).admitted.add(c.shares.slot(now), cost(r.Prompt))
 	}
--- /dev/null
+++ b/fleet/dispatch/model_test.go
@@ -0,0 +1,264 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"baobabpaddle/fleet/configuration"
+)
+
+var epoch = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+const (
+	gateway = "g"
+	zoneA   = "zone-a"
+	// engineReads is the prompt tokens that a modelled engine reads in a
+	// millisecond, and engineSlots how many requests it runs at once.
+	engineReads = 57.0
+	engineSlots = 64
+	// fleetTokens is the declared throughput of nine engines.
+	fleetTokens = 210_000.0
+)
+
+// engineModel reads prompts one after the other and generates at a fixed pace.
+type engineModel struct {
+	free    time.Time // when it has read all that was sent
+	running int
+}
+
+// load is one kind of request of a pattern.
+type load struct {
+	class     string
+	tokens    int
+	output    int
+	objective time.Duration
+	spread    float64 // of the size; 0 is none
+	shared    int     // tokens of one of so many shared pieces
+	pieces    int
+}
+
+// pattern is a load on the model.
+type pattern struct {
+	seed    uint64
+	seconds int
+	// rate returns how many requests of a team arrive in a second.
+	rate func(team int, second int) float64
+	load []load
+	team int
+}
+
+// received is what one team or class got.
+type received struct {
+	asked, begun, onTime int
+	tokens               float64
+}
+
+// outcomeOf is what became of a pattern.
+type outcomeOf struct {
+	teams   map[string]*received
+	classes map[string]*received
+	large   map[string]*received // of each class, those over twice the mean size
+	// again is the tokens of shared pieces that were read although an engine had
+	// read them before.
+	again float64
+}
+
+type due struct {
+	at  time.Time
+	run func()
+}
+
+// world drives a Core with modelled engines under a virtual clock.
+type world struct {
+	core    *Core
+	now     time.Time
+	random  *rand.Rand
+	engines map[string]*engineModel
+	events  []due
+	nextID  uint64
+}
+
+func table() *configuration.Table {
+	return configuration.NewTable(&configuration.Configuration{
+		Version: 1,
+		Services: []configuration.Service{
+			{
+				Name: "llm",
+				Engine: &configuration.Engine{
+					Slots:          engineSlots,
+					KVTokens:       555_887,
+					TokensPerEvent: 5,
+				},
+			},
+			{
+				Name: "plain",
+			},
+		},
+		Limits: configuration.Limits{
+			TokensPerSecond: fleetTokens,
+		},
+	})
+}
+
+func newWorld(seed uint64, engines int) *world {
+	w := &world{
+		core:    New(Settings{}, rand.New(rand.NewPCG(seed, 1))),
+		now:     epoch,
+		random:  rand.New(rand.NewPCG(seed, 2)),
+		engines: make(map[string]*engineModel),
+	}
+	w.core.SetConfiguration(table())
+	w.core.SetUpstreams(upstreams(engines))
+	for i := range engines {
+		w.engines[engineName(i)] = &engineModel{
+			free: epoch,
+		}
+	}
+	return w
+}
+
+func engineName(i int) string { return fmt.Sprintf("e%02d", i) }
+
+func upstreams(n int) []Upstream {
+	var out []Upstream
+	for i := range n {
+		out = append(out, Upstream{
+			ID:      engineName(i),
+			Service: "llm",
+			Address: fmt.Sprintf("10.0.0.%d:80", i+1),
+			Zone:    zoneA,
+			Slots:   engineSlots,
+		})
+	}
+	return out
+}
+
+func (w *world) at(t time.Time, run func()) {
+	w.events = append(w.events, due{
+		at:  t,
+		run: run,
+	})
+}
+
+// run executes a pattern on nine engines and returns what came of it.
+func run(p pattern) *outcomeOf {
+	w := newWorld(p.seed, 9)
+	out := &outcomeOf{
+		teams:   make(map[string]*received),
+		classes: make(map[string]*received),
+		large:   make(map[string]*received),
+	}
+	end := epoch.Add(time.Duration(p.seconds) * time.Second)
+	for ; w.now.Before(end); w.now = w.now.Add(time.Millisecond) {
+		second := int(w.now.Sub(epoch) / time.Second)
+		for team := range p.team {
+			if w.random.Float64() < p.rate(team, second)/1000 {
+				w.arrive(out, fmt.Sprintf("t%02d", team), p.load[w.random.IntN(len(p.load))])
+			}
+		}
+		w.advance()
+	}
+	return out
+}
+
+func (w *world) advance() {
+	kept := w.events[:0]
+	var ready []due
+	for _, e := range w.events {
+		if e.at.After(w.now) {
+			kept = append(kept, e)
+		} else {
+			ready = append(ready, e)
+		}
+	}
+	w.events = kept
+	for _, e := range ready {
+		e.run()
+	}
+}
+
+func at(m map[string]*received, name string) *received {
+	if m[name] == nil {
+		m[name] = &received{}
+	}
+	return m[name]
+}
+
+func (w *world) request(team string, l load) Request {
+	w.nextID++
+	own := float64(l.tokens)
+	if l.spread > 0 {
+		own *= w.random.ExpFloat64()*l.spread + (1 - l.spread)
+	}
+	r := Request{
+		ID:        w.nextID,
+		Service:   "llm",
+		Class:     l.class,
+		Team:      team,
+		Zone:      zoneA,
+		Objective: l.objective,
+		Left:      15 * time.Second,
+	}
+	if l.shared > 0 {
+		r.Prompt.Parts = append(r.Prompt.Parts, Part{
+			ID:     uint64(1 + w.random.IntN(l.pieces)),
+			Tokens: l.shared,
+		})
+	}
+	r.Prompt.Parts = append(r.Prompt.Parts, Part{
+		ID:     1<<32 + w.nextID,
+		Tokens: int(own) + 1,
+	})
+	for _, part := range r.Prompt.Parts {
+		r.Prompt.Tokens += part.Tokens
+	}
+	r.Prompt.MaxOutput = 2 * l.output
+	r.Prompt.Hint = l.output
+	return r
+}
+
+// arrive places one request and lets the model engine work on it.
+func (w *world) arrive(out *outcomeOf, team string, l load) {
+	r := w.request(team, l)
+	groups := []*received{at(out.teams, team), at(out.classes, l.class)}
+	if r.Prompt.Parts[len(r.Prompt.Parts)-1].Tokens > 2*l.tokens {
+		groups = append(groups, at(out.large, l.class))
+	}
+	for _, g := range groups {
+		g.asked++
+	}
+	unread, shared := 0.0, 0.0
+	d := w.core.Place(w.now, gateway, r)
+	if d.Upstream == "" {
+		return
+	}
+	key := Key{
+		Gateway: gateway,
+		ID:      r.ID,
+	}
+	unread = w.core.placed[key].unread
+	if unread > float64(r.Prompt.Parts[len(r.Prompt.Parts)-1].Tokens) {
+		shared = unread - float64(r.Prompt.Parts[len(r.Prompt.Parts)-1].Tokens)
+	}
+	out.again += shared
+	e := w.engines[d.Upstream]
+	begin := w.now
+	if e.free.After(begin) {
+		begin = e.free
+	}
+	e.free = begin.Add(time.Duration(unread / engineReads * float64(time.Millisecond)))
+	first := e.free
+	asked := w.now
+	w.at(first, func() {
+		w.core.Begun(w.now, key)
+		for _, g := range groups {
+			g.begun++
+			g.tokens += cost(r.Prompt)
+			if first.Sub(asked) <= l.objective {
+				g.onTime++
+			}
+		}
+	})
+	w.at(first.Add(time.Duration(l.output)*8*time.Millisecond), func() { w.core.Ended(w.now, key, Answered) })
+}
--- a/fleet/dispatch/share.go
+++ b/fleet/dispatch/share.go
@@ -116,7 +116,7 @@
 		return 1
 	}
 	ratio := s.hungry / t.admitted.total
-	return min(ratio*ratio, maxLenience)
+	return min(ratio*ratio*ratio, maxLenience)
 }
 
 // level returns the max-min level: the largest amount that each may have so that
--- a/fleet/dispatch/size.go
+++ b/fleet/dispatch/size.go
@@ -9,71 +9,92 @@
 const (
 	// sizeWeight is the weight of a new request in its class's mean size.
 	sizeWeight = 0.02
-	// largePart is the part of a class's requests that are not large.
-	largePart = 0.8
-	// quantileStep moves the estimated bound of the large ones, in parts of itself.
+	// quantileStep moves the estimated bounds of sizes, in parts of themselves.
 	quantileStep = 0.02
 	// sizeMemory is the time in which the counts of a class fade to a third.
 	sizeMemory = 8 * time.Second
-	// evenPart is the part of the whole class's chance below which the large
-	// requests are treated as if they were of the usual size.
-	evenPart = 0.8
+	// evenPart is the part of the whole class's chance below which the requests of
+	// a size are treated as if they were smaller.
+	evenPart = 0.9
+	// leastPart is the part of the class's chance at which they count as nothing,
+	// and below which they go before others.
+	leastPart = 0.68
 )
 
-// tally counts requests that fade with time.
+// sizeBounds are the quantiles that part the sizes of a class: the largest tenth,
+// the fifth below it, and the rest.
+var sizeBounds = [...]float64{0.7, 0.9}
+
+// tally counts requests; the counts fade with time.
 type tally struct {
 	asked, admitted float64
 }
 
 // class is what is known of the sizes of one kind of request.
 type class struct {
-	mean  float64 // prompt tokens to be read
-	large float64 // the bound above which a request is large
-	all   tally
-	big   tally
-	faded time.Time
+	mean   float64 // prompt tokens to be read
+	bounds [len(sizeBounds)]float64
+	all    tally
+	sizes  [len(sizeBounds) + 1]tally
+	faded  time.Time
 }
 
-// see counts a request of a size and returns the size that decides about it: its
-// own, or the usual one while the large ones of its class are refused more often
-// than the others.
-func (c *class) see(now time.Time, unread float64) float64 {
+// see counts a request whose prompt has a size and returns how many tokens to be
+// read decide about it: unread, or less while requests of about its size are
+// refused more often than the others of their class; the result may be negative.
+func (c *class) see(now time.Time, size, unread float64) float64 {
 	if c.mean == 0 {
 		c.mean = unread
-		c.large = unread
 		c.faded = now
+		for i := range c.bounds {
+			c.bounds[i] = size
+		}
 	}
 	c.mean += sizeWeight * (unread - c.mean)
-	if unread > c.large {
-		c.large *= 1 + quantileStep*largePart
-	} else {
-		c.large *= 1 - quantileStep*(1-largePart)
-	}
-	fade := math.Exp(-now.Sub(c.faded).Seconds() / sizeMemory.Seconds())
-	c.faded = now
-	for _, t := range []*tally{&c.all, &c.big} {
-		t.asked *= fade
-		t.admitted *= fade
+	for i, quantile := range sizeBounds {
+		if size > c.bounds[i] {
+			c.bounds[i] *= 1 + quantileStep*quantile
+		} else {
+			c.bounds[i] *= 1 - quantileStep*(1-quantile)
+		}
 	}
+	c.fade(now)
 	c.all.asked++
-	if unread > c.large {
-		c.big.asked++
-		if c.uneven() {
-			return min(unread, c.mean)
-		}
+	group := c.group(size)
+	c.sizes[group].asked++
+	if c.all.admitted == 0 || group == 0 {
+		return unread
+	}
+	chance := c.sizes[group].admitted / c.sizes[group].asked / (c.all.admitted / c.all.asked)
+	if chance >= evenPart {
+		return unread
 	}
-	return unread
+	return min(unread, c.mean) * (chance - leastPart) / (evenPart - leastPart)
 }
 
-// uneven reports whether the large requests have less than their chance.
-func (c *class) uneven() bool {
-	return c.big.admitted*c.all.asked < evenPart*c.all.admitted*c.big.asked
+func (c *class) fade(now time.Time) {
+	factor := math.Exp(-now.Sub(c.faded).Seconds() / sizeMemory.Seconds())
+	c.faded = now
+	c.all.asked *= factor
+	c.all.admitted *= factor
+	for i := range c.sizes {
+		c.sizes[i].asked *= factor
+		c.sizes[i].admitted *= factor
+	}
+}
+
+// group returns the number of the part of the sizes that a request belongs to.
+func (c *class) group(size float64) int {
+	for i, bound := range c.bounds {
+		if size <= bound {
+			return i
+		}
+	}
+	return len(c.bounds)
 }
 
 // admit counts a request that was given a place.
-func (c *class) admit(unread float64) {
+func (c *class) admit(size float64) {
 	c.all.admitted++
-	if unread > c.large {
-		c.big.admitted++
-	}
+	c.sizes[c.group(size)].admitted++
 }
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -40,7 +40,7 @@
 	h.budget.request(x.arrived, x.service)
 	attempts := max(x.route.MaxUpstreams, 1)
 	mayHaveRun := false
-	result := notRun
+	var result outcome
 	for {
 		d := h.fleet.Place(x.r.Context(), x.ask())
 		if d.Upstream == "" {
@@ -313,7 +313,7 @@
 				}
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			x.handler.pace.saw(x.tokens(), time.Since(began))
 			return x.streamEnded(answer)
 		}
