--- a/bench/pages/pages_test.go
+++ b/bench/pages/pages_test.go
@@ -82,13 +82,16 @@
 const firstColumn = "(?m)^\\| `([a-z_]+)` \\|"
 
 func TestSettings(t *testing.T) {
-	page := read(t, "docs", "OPERATING.md")
+	page := read(t, "docs", "OPERATIONS.md")
 	for program, file := range map[string]string{
 		"controller": "controller/settings.go",
 		"gateway":    "gateway/settings.go",
 		"sidecar":    "sidecar/settings.go",
 		"baobabctl":  "baobabctl/settings.go",
 		"credential": "fleet/credential/credential.go",
+
+		"controller serve": "controller/serve_settings.go",
+		"gateway serve":    "gateway/serve_settings.go",
 	} {
 		code := all("json:\"([a-z_]+)", read(t, strings.Split(file, "/")...))
 		same(t, program+" setting", all(firstColumn, section(t, page, "### Settings: "+program)), code)
@@ -109,7 +112,7 @@
 
 func TestMetrics(t *testing.T) {
 	code := all("(?:Gauge|Histograms|Counter)\\([\"`]([a-z_]+)", sources(t, "controller", "gateway", "sidecar"))
-	page := section(t, read(t, "docs", "OPERATING.md"), "## Metrics and alarms")
+	page := section(t, read(t, "docs", "OPERATIONS.md"), "## Metrics and alarms")
 	same(t, "metric", all(firstColumn, page), code)
 }
 
@@ -129,7 +132,7 @@
 		}
 	}
 	slices.Sort(code)
-	page := section(t, read(t, "docs", "OPERATING.md"), "### Flags")
+	page := section(t, read(t, "docs", "OPERATIONS.md"), "### Flags")
 	same(t, "flag", all("`(--[a-z-]+)`", page), slices.Compact(code))
 }
 
--- a/fleet/dispatch/model_test.go
+++ b/fleet/dispatch/model_test.go
@@ -23,8 +23,7 @@
 
 // engineModel reads prompts one after the other and generates at a fixed pace.
 type engineModel struct {
-	free    time.Time // when it has read all that was sent
-	running int
+	free time.Time // when it has read all that was sent
 }
 
 // load is one kind of request of a pattern.
@@ -228,7 +227,6 @@
 	for _, g := range groups {
 		g.asked++
 	}
-	unread, shared := 0.0, 0.0
 	d := w.core.Place(w.now, gateway, r)
 	if d.Upstream == "" {
 		return
@@ -237,11 +235,8 @@
 		Gateway: gateway,
 		ID:      r.ID,
 	}
-	unread = w.core.placed[key].unread
-	if unread > float64(r.Prompt.Parts[len(r.Prompt.Parts)-1].Tokens) {
-		shared = unread - float64(r.Prompt.Parts[len(r.Prompt.Parts)-1].Tokens)
-	}
-	out.again += shared
+	unread := w.core.placed[key].unread
+	out.again += max(0, unread-float64(r.Prompt.Parts[len(r.Prompt.Parts)-1].Tokens))
 	e := w.engines[d.Upstream]
 	begin := w.now
 	if e.free.After(begin) {
--- /dev/null
+++ b/fleet/raft/adjust_test.go
@@ -0,0 +1,113 @@
+package raft
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// leaderOf returns a leader of a group whose other members were heard as told:
+// learners stand behind voters, all have caught up.
+func leaderOf(voters, learners int, silent ...uint64) *Core {
+	members := Members{}
+	for id := 1; id <= voters+learners; id++ {
+		members.List = append(members.List, Member{
+			ID:    uint64(id),
+			Voter: id <= voters,
+		})
+	}
+	c := New(Settings{
+		ID:           1,
+		MaxVoters:    7,
+		ReplaceAfter: 2 * time.Second,
+	}, Restored{
+		Snapshot: Snapshot{
+			Index:   1,
+			Term:    1,
+			Members: members,
+		},
+	}, rand.New(rand.NewPCG(1, 1)), epoch)
+	c.hard.Term = 2
+	c.becomeLeader(epoch)
+	now := epoch.Add(10 * time.Second)
+	for _, p := range c.peers {
+		p.lastHeard = now
+		p.match = c.log.lastIndex()
+	}
+	for _, id := range silent {
+		c.peers[id].lastHeard = epoch
+	}
+	return c
+}
+
+// TestAdjustment goes through groups and the one change that is due in each.
+func TestAdjustment(t *testing.T) {
+	now := epoch.Add(10 * time.Second)
+	for name, c := range map[string]struct {
+		voters, learners int
+		silent           []uint64
+		promoted         uint64
+		removed          uint64
+	}{
+		"all alive": {3, 0, nil, 0, 0},
+		"one learner does not make a fourth voter": {3, 1, nil, 0, 0},
+		"two learners make five voters":            {3, 2, nil, 4, 0},
+		"a founder waits for two":                  {1, 1, nil, 0, 0},
+		"a founder with two":                       {1, 2, nil, 2, 0},
+		"an even number is filled":                 {4, 1, nil, 5, 0},
+		"no more than seven":                       {7, 3, nil, 0, 0},
+		"a silent voter without a learner":         {3, 0, []uint64{2}, 0, 0},
+		"a silent voter makes room":                {3, 1, []uint64{2}, 0, 2},
+		"a silent learner takes no place":          {3, 1, []uint64{2, 4}, 0, 0},
+		"of two silent ones, one at a time":        {5, 1, []uint64{2, 3}, 0, 2},
+		"then the learner fills the even number":   {4, 1, []uint64{3}, 5, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			core := leaderOf(c.voters, c.learners, c.silent...)
+			next, err := core.adjustment(now)
+			is.NoErr(err)
+			var promoted, removed uint64
+			if len(next.List) > 0 {
+				for _, m := range core.members.List {
+					after, ok := next.Find(m.ID)
+					switch {
+					case !ok:
+						removed = m.ID
+					case after.Voter && !m.Voter:
+						promoted = m.ID
+					}
+				}
+			}
+			is.Equal(promoted, c.promoted)
+			is.Equal(removed, c.removed)
+		})
+	}
+}
+
+// TestLearnerThatLagsIsNotPromoted keeps one out that lacks entries.
+func TestLearnerThatLagsIsNotPromoted(t *testing.T) {
+	is := is.New(t)
+	c := leaderOf(2, 1)
+	c.peers[3].match = 0
+	next, err := c.adjustment(epoch.Add(10 * time.Second))
+	is.NoErr(err)
+	is.Equal(len(next.List), 0)
+}
+
+// TestManagedSchedules runs the random schedules with leaders that replace silent
+// voters by themselves.
+func TestManagedSchedules(t *testing.T) {
+	for seed := range uint64(scheduleCount()) {
+		s := newSchedule(t, seed+1, noFault)
+		s.managed = true
+		for _, id := range s.order {
+			s.start(s.nodes[id])
+		}
+		if broken := s.run(); broken != "" {
+			t.Errorf("seed %d: %s", s.seed, broken)
+		}
+	}
+}
--- a/fleet/raft/schedules_test.go
+++ b/fleet/raft/schedules_test.go
@@ -73,6 +73,7 @@
 	healthy bool
 	lost    []uint64 // identifiers whose disks are gone and must be replaced
 	broken  string
+	managed bool // leaders replace silent voters by themselves
 }
 
 func newSchedule(t *testing.T, seed uint64, f fault) *schedule {
@@ -117,9 +118,14 @@
 
 // start runs a replica from its disk.
 func (s *schedule) start(n *node) {
-	n.core = New(Settings{
+	settings := Settings{
 		ID: n.id,
-	}, Restored{
+	}
+	if s.managed {
+		settings.MaxVoters = 5
+		settings.ReplaceAfter = 2 * time.Second
+	}
+	n.core = New(settings, Restored{
 		HardState: n.hard,
 		Snapshot:  n.snapshot,
 		Entries:   n.entries,
--- /dev/null
+++ b/gateway/internal/controller/link_test.go
@@ -0,0 +1,243 @@
+package controller
+
+import (
+	"context"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"baobabpaddle/fleet/credential"
+	"baobabpaddle/fleet/dispatch"
+	"baobabpaddle/fleet/link"
+	"baobabpaddle/fleet/state"
+	"baobabpaddle/fleet/wire"
+)
+
+const document = `{"version":3,"routes":[],"services":[{"name":"desk"}],"limits":{},"teams":[]}`
+
+// leader is a controller that leads and answers as its fields say.
+type leader struct {
+	mu      sync.Mutex
+	silent  bool // decides on nothing
+	unsure  bool // answers no pings
+	frames  []wire.Serve
+	conns   []*link.Conn[wire.Serve]
+	address string
+}
+
+func (l *leader) set(f func(*leader)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(l)
+}
+
+func proof(t *testing.T, role credential.Role) *credential.Credential {
+	t.Helper()
+	c, err := credential.Load(credential.Settings{
+		PrivateNetwork: true,
+	}, credential.Peer{
+		Role: role,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func dialer(t *testing.T, role credential.Role) link.Dialer {
+	t.Helper()
+	return link.Dialer{
+		Credential: proof(t, role),
+		Heartbeat:  100 * time.Millisecond,
+		Stats:      &link.Stats{},
+	}
+}
+
+func startLeader(t *testing.T) *leader {
+	t.Helper()
+	l := &leader{}
+	ctx, cancel := context.WithCancel(context.Background())
+	server := httptest.NewServer(link.Handler(ctx, dialer(t, credential.Controller),
+		func(_ credential.Peer, c *link.Conn[wire.Serve]) { l.serve(c) }))
+	t.Cleanup(func() {
+		cancel()
+		server.Close()
+	})
+	l.address = strings.TrimPrefix(server.URL, "http://")
+	return l
+}
+
+func (l *leader) serve(c *link.Conn[wire.Serve]) {
+	if _, err := c.Receive(); err != nil {
+		return
+	}
+	_ = c.Send(wire.Serve{
+		Welcome: &wire.Welcome{
+			Leads: true,
+		},
+		Upstreams: &wire.Upstreams{
+			List: []dispatch.Upstream{
+				{
+					ID:      "u",
+					Service: "desk",
+					Address: "10.0.0.1:80",
+				},
+			},
+		},
+	})
+	_ = c.Send(wire.Serve{
+		Configuration: &state.Replace{
+			Version:  3,
+			Document: []byte(document),
+		},
+	})
+	l.set(func(l *leader) { l.conns = append(l.conns, c) })
+	for {
+		frame, err := c.Receive()
+		if err != nil {
+			return
+		}
+		var silent, unsure bool
+		l.set(func(l *leader) {
+			l.frames = append(l.frames, frame)
+			silent, unsure = l.silent, l.unsure
+		})
+		out := wire.Serve{}
+		if !unsure {
+			out.Pong = frame.Ping
+		}
+		for _, r := range frame.Places {
+			if !silent {
+				out.Decisions = append(out.Decisions, dispatch.Decision{
+					ID:       r.ID,
+					Upstream: "u",
+				})
+			}
+		}
+		if !out.Empty() {
+			_ = c.Send(out)
+		}
+	}
+}
+
+func startLink(t *testing.T, seeds []string, lifetime time.Duration) *Link {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	l := New(Settings{
+		Name:          "g",
+		Seeds:         seeds,
+		ProofLifetime: lifetime,
+	}, dialer(t, credential.Gateway), slog.New(slog.DiscardHandler))
+	go l.Run(ctx)
+	return l
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatal(what)
+}
+
+// TestLearnsAndPlaces finds the leader among seeds of which one is dead, learns
+// what is in force and has a request placed.
+func TestLearnsAndPlaces(t *testing.T) {
+	is := is.New(t)
+	front := startLeader(t)
+	l := startLink(t, []string{"127.0.0.1:1", front.address}, time.Minute)
+	eventually(t, "not ready", func() bool { return l.View().Ready() })
+	is.Equal(l.View().Table.Configuration.Version, uint64(3))
+	d := l.Place(context.Background(), dispatch.Request{
+		ID:      1,
+		Service: "desk",
+	})
+	is.Equal(d.Upstream, "u")
+	l.Ended(1, dispatch.Answered)
+	eventually(t, "the leader was not told of the end", func() bool {
+		ended := 0
+		front.set(func(l *leader) {
+			for _, f := range l.frames {
+				ended += len(f.Ended)
+			}
+		})
+		return ended == 1
+	})
+}
+
+// TestSilentLeaderIsNotWaitedFor has the gateway decide by itself, and tell the
+// leader.
+func TestSilentLeaderIsNotWaitedFor(t *testing.T) {
+	is := is.New(t)
+	front := startLeader(t)
+	front.silent = true
+	l := startLink(t, []string{front.address}, time.Minute)
+	eventually(t, "not ready", func() bool { return l.View().Ready() })
+	started := time.Now()
+	d := l.Place(context.Background(), dispatch.Request{
+		ID:      1,
+		Service: "desk",
+	})
+	is.Equal(d.Upstream, "u")
+	is.True(time.Since(started) >= decisionTimeout)
+	is.True(time.Since(started) < 20*decisionTimeout)
+	eventually(t, "the leader was not told", func() bool {
+		sent := 0
+		front.set(func(l *leader) {
+			for _, f := range l.frames {
+				sent += len(f.Sent)
+			}
+		})
+		return sent == 1
+	})
+}
+
+// TestProofRunsOut stops pings from being confirmed: keys are no longer served,
+// but requests are placed.
+func TestProofRunsOut(t *testing.T) {
+	is := is.New(t)
+	front := startLeader(t)
+	l := startLink(t, []string{front.address}, 1200*time.Millisecond)
+	eventually(t, "not ready", func() bool { return l.View().Ready() })
+	front.set(func(l *leader) { l.unsure = true })
+	eventually(t, "still proven", func() bool { return !l.View().Proven() })
+	is.True(l.View().Table != nil)
+	front.set(func(l *leader) { l.unsure = false })
+	eventually(t, "not proven again", func() bool { return l.View().Proven() })
+}
+
+// TestNewLeaderHearsOfRunningRequests breaks the link: the next one begins with
+// what is at upstreams.
+func TestNewLeaderHearsOfRunningRequests(t *testing.T) {
+	is := is.New(t)
+	front := startLeader(t)
+	l := startLink(t, []string{front.address}, time.Minute)
+	eventually(t, "not ready", func() bool { return l.View().Ready() })
+	is.Equal(l.Place(context.Background(), dispatch.Request{
+		ID:      7,
+		Service: "desk",
+	}).Upstream, "u")
+	front.set(func(l *leader) {
+		l.frames = nil
+		l.conns[0].Close()
+	})
+	eventually(t, "the new link does not tell of the request", func() bool {
+		found := false
+		front.set(func(l *leader) {
+			for _, f := range l.frames {
+				for _, s := range f.Sent {
+					found = found || s.ID == 7
+				}
+			}
+		})
+		return found
+	})
+}
--- /dev/null
+++ b/gateway/internal/serve/events_test.go
@@ -0,0 +1,51 @@
+package serve
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestEventScanner cuts the same stream at every place: what comes out is the
+// whole events, in order, once.
+func TestEventScanner(t *testing.T) {
+	is := is.New(t)
+	text := "id: 1\ndata: a\n\nid: 2\ndata: id:9\n\ndata: no identifier\n\nid: 30\ndata: c\n\n"
+	for i := range len(text) {
+		for _, step := range []int{1, 3, len(text)} {
+			var s eventScanner
+			var out strings.Builder
+			rest := text
+			out.Write(s.next([]byte(rest[:i])))
+			rest = rest[i:]
+			for len(rest) > 0 {
+				n := min(step, len(rest))
+				out.Write(s.next([]byte(rest[:n])))
+				rest = rest[n:]
+			}
+			is.Equal(out.String(), text)
+			is.Equal(string(s.last), "30")
+			is.True(!s.torn())
+		}
+	}
+}
+
+func FuzzEventScanner(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\n", 3)
+	f.Fuzz(func(t *testing.T, text string, step int) {
+		if step < 1 {
+			return
+		}
+		var s eventScanner
+		var out strings.Builder
+		for rest := text; len(rest) > 0; {
+			n := min(step, len(rest))
+			out.Write(s.next([]byte(rest[:n])))
+			rest = rest[n:]
+		}
+		if got := out.String() + string(s.partial); got != text {
+			t.Errorf("%q came out as %q", text, got)
+		}
+	})
+}
--- /dev/null
+++ b/gateway/internal/serve/handler_test.go
@@ -0,0 +1,401 @@
+package serve
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"baobabpaddle/fleet/configuration"
+	"baobabpaddle/fleet/dispatch"
+	"baobabpaddle/fleet/steady"
+	"baobabpaddle/fleet/telemetry"
+	"baobabpaddle/gateway/internal/controller"
+	"baobabpaddle/gateway/internal/upstream"
+	"baobabpaddle/platform"
+)
+
+const document = `{"version":3,
+	"routes":[
+		{"name":"book","host":"a","path_prefix":"/book/","kind":"unsafe","timeout_ms":2000,"service":"desk","max_upstreams":1,"without_key":true},
+		{"name":"look","host":"a","path_prefix":"/look/","kind":"safe","timeout_ms":2000,"service":"desk","max_upstreams":2,"without_key":true},
+		{"name":"chat","host":"a","path_prefix":"/chat/","kind":"stream","timeout_ms":2000,"service":"desk","max_upstreams":2,"resumable":true},
+		{"name":"draft","host":"a","path_prefix":"/draft/","kind":"stream","timeout_ms":2000,"service":"desk","max_upstreams":2}],
+	"services":[{"name":"desk"}],
+	"limits":{"max_body_bytes":1000},
+	"teams":[{"name":"north","keys":["key-1"]}]}`
+
+// fakeFleet places requests at its upstreams in turn.
+type fakeFleet struct {
+	mu     sync.Mutex
+	view   controller.View
+	order  []string
+	next   int
+	refuse *dispatch.Decision
+	ended  []dispatch.Ending
+}
+
+func (f *fakeFleet) View() *controller.View { return &f.view }
+
+func (f *fakeFleet) Place(_ context.Context, r dispatch.Request) dispatch.Decision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refuse != nil {
+		return *f.refuse
+	}
+	f.next++
+	return dispatch.Decision{
+		ID:       r.ID,
+		Upstream: f.order[(f.next-1)%len(f.order)],
+	}
+}
+
+func (f *fakeFleet) Begun(uint64) {}
+
+func (f *fakeFleet) Ended(_ uint64, e dispatch.Ending) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended = append(f.ended, e)
+}
+
+// script is how one upstream answers a request; nothing written and false closes
+// the connection.
+type script func(w net.Conn, r *http.Request) bool
+
+// bed is a handler before a real server with scripted upstreams behind it.
+type bed struct {
+	t       *testing.T
+	fleet   *fakeFleet
+	handler *Handler
+	server  *httptest.Server
+
+	mu       sync.Mutex
+	received []*http.Request
+}
+
+func newBed(t *testing.T, scripts ...script) *bed {
+	t.Helper()
+	parsed, err := configuration.Parse([]byte(document))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bed{
+		t: t,
+		fleet: &fakeFleet{
+			view: controller.View{
+				Table:       configuration.NewTable(parsed),
+				Upstreams:   make(map[string]dispatch.Upstream),
+				ProvenUntil: steady.Now().Add(time.Minute),
+				Gateways:    1,
+			},
+		},
+	}
+	for i, s := range scripts {
+		id := string(rune('a' + i))
+		b.fleet.order = append(b.fleet.order, id)
+		b.fleet.view.Upstreams[id] = dispatch.Upstream{
+			ID:      id,
+			Address: b.upstream(s),
+		}
+	}
+	protocol := platform.Headers{}
+	b.handler = New(Settings{
+		Retry: RetrySettings{
+			Ratio:  0.2,
+			Slack:  20,
+			Window: 10 * time.Second,
+		},
+	}, b.fleet, upstream.New(func(status int, h http.Header) string { return protocol.ReadReply(status, h).ID }),
+		protocol, telemetry.NewMetrics(), slog.New(slog.DiscardHandler))
+	b.server = httptest.NewServer(b.handler)
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+func (b *bed) upstream(s script) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					request, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					b.mu.Lock()
+					b.received = append(b.received, request)
+					b.mu.Unlock()
+					if !s(c, request) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// ask sends a request as a caller.
+func (b *bed) ask(method, path string, headers ...string) (*http.Response, string, error) {
+	b.t.Helper()
+	request, err := http.NewRequest(method, b.server.URL+path, strings.NewReader("body"))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	request.Host = "a"
+	request.Header.Set("Baobabpaddle-Attempt-Id", "id-1")
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
+
+func (b *bed) runs() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.received)
+}
+
+// reply is an upstream's answer with a body of a known length.
+func reply(status, extra, body string) script {
+	return func(w net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(w, "HTTP/1.1 "+status+"\r\nBaobabpaddle-Attempt-Id: "+r.Header.Get("Baobabpaddle-Attempt-Id")+
+			"\r\n"+extra+"Content-Length: "+lengthOf(body)+"\r\n\r\n"+body)
+		return true
+	}
+}
+
+func lengthOf(s string) string { return strconv.Itoa(len(s)) }
+
+func hangUp(net.Conn, *http.Request) bool { return false }
+
+const stamp = "Baobabpaddle-Server-Stamp: s\r\n"
+
+// stream sends events in chunks, and the end of the chunks if whole.
+func stream(text string, whole bool) script {
+	return func(w net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nBaobabpaddle-Attempt-Id: "+r.Header.Get("Baobabpaddle-Attempt-Id")+
+			"\r\n"+stamp+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		if text != "" {
+			_, _ = io.WriteString(w, strconv.FormatInt(int64(len(text)), 16)+"\r\n"+text+"\r\n")
+		}
+		if whole {
+			_, _ = io.WriteString(w, "0\r\n\r\n")
+		}
+		return whole
+	}
+}
+
+// TestAnswers goes through what upstreams may do to requests that may be run
+// once and to those that may be repeated, and what the caller is told.
+func TestAnswers(t *testing.T) {
+	fine := reply("200 OK", stamp, "yes")
+	for name, c := range map[string]struct {
+		path    string
+		scripts []script
+		status  int
+		promise bool // the status promises that nothing ran
+		runs    int
+	}{
+		"a whole answer":                  {"/book/", []script{fine}, 200, false, 1},
+		"an upstream's own failure":       {"/book/", []script{reply("500 Internal Server Error", stamp, "no")}, 500, false, 1},
+		"a rejection is a promise":        {"/book/", []script{reply("503 Service Unavailable", "Baobabpaddle-Not-Executed: 1\r\n", "")}, 503, true, 1},
+		"another upstream at the address": {"/book/", []script{reply("421 Misdirected Request", "", "")}, 503, true, 1},
+		"a lost answer is no promise":     {"/book/", []script{hangUp, fine}, 502, false, 1},
+		"success without signature":       {"/book/", []script{reply("200 OK", "", "yes")}, 502, false, 1},
+		"an encoded body":                 {"/book/", []script{reply("200 OK", stamp+"Content-Encoding: gzip\r\n", "yes")}, 502, false, 1},
+		"half an answer": {"/book/", []script{func(w net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\n"+stamp+"Content-Length: 9\r\n\r\nhalf")
+			return false
+		}}, 502, false, 1},
+		"a safe request goes elsewhere":       {"/look/", []script{hangUp, fine}, 200, false, 2},
+		"a safe request's failure is retried": {"/look/", []script{reply("500 Internal Server Error", stamp, "no"), fine}, 200, false, 2},
+		"no more upstreams than allowed":      {"/look/", []script{hangUp, hangUp, fine}, 502, false, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBed(t, c.scripts...)
+			response, _, err := b.ask("POST", c.path)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, c.status)
+			is.Equal(response.Header.Get("Retry-After") != "", c.promise)
+			is.Equal(b.runs(), c.runs)
+		})
+	}
+}
+
+// TestUnreachableIsAPromise finds nobody at the address: nothing was sent.
+func TestUnreachableIsAPromise(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, hangUp)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	b.fleet.view.Upstreams["a"] = dispatch.Upstream{
+		ID:      "a",
+		Address: l.Addr().String(),
+	}
+	l.Close()
+	response, _, err := b.ask("POST", "/book/")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 503)
+	is.True(response.Header.Get("Retry-After") != "")
+	is.Equal(b.runs(), 0)
+}
+
+const (
+	event1 = "id: 1\ndata: x\n\n"
+	event2 = "id: 2\ndata: y\n\n"
+	event3 = "id: 3\ndata: z\n\n"
+)
+
+// TestStreams breaks streams off and resumes those that may be resumed, in the
+// same answer, from the last whole event.
+func TestStreams(t *testing.T) {
+	for name, c := range map[string]struct {
+		path    string
+		scripts []script
+		body    string
+		whole   bool
+		runs    int
+	}{
+		"whole":                          {"/draft/", []script{stream(event1+event2, true)}, event1 + event2, true, 1},
+		"broken off":                     {"/draft/", []script{stream(event1, false), stream(event2, true)}, event1, false, 1},
+		"broken in an event":             {"/draft/", []script{stream(event1+"id: 2\nda", false)}, event1, false, 1},
+		"ended in an event":              {"/draft/", []script{stream(event1+"id: 2\nda", true)}, event1, false, 1},
+		"resumed":                        {"/chat/", []script{stream(event1, false), stream(event2+event3, true)}, event1 + event2 + event3, true, 2},
+		"resumed after a torn event":     {"/chat/", []script{stream(event1+"id: 2\nda", false), stream(event2, true)}, event1 + event2, true, 2},
+		"resumed no more than allowed":   {"/chat/", []script{stream(event1, false), stream(event2, false), stream(event3, true)}, event1 + event2, false, 2},
+		"resumed before the first event": {"/chat/", []script{hangUp, stream(event1, true)}, event1, true, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBed(t, c.scripts...)
+			response, body, err := b.ask("POST", c.path, "X-Api-Key", "key-1")
+			is.True(response != nil)
+			is.Equal(body, c.body)
+			is.Equal(err == nil, c.whole)
+			is.Equal(b.runs(), c.runs)
+			if c.runs == 2 && c.body != event1 {
+				is.Equal(b.received[1].Header.Get("Last-Event-Id"), "1")
+			}
+		})
+	}
+}
+
+// TestHeaders checks what reaches the upstream of what a caller sent.
+func TestHeaders(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, stream(event1, true))
+	_, _, err := b.ask("POST", "/chat/x%2Fy?q=1", "X-Api-Key", "key-1", "Baobabpaddle-Tenant", "south",
+		"Baobabpaddle-Hold", "h", "Connection", "X-Mine", "X-Mine", "1", "X-Other", "2", "Baobabpaddle-Deadline-Ms", "700")
+	is.NoErr(err)
+	got := b.received[0]
+	is.Equal(got.RequestURI, "/chat/x%2Fy?q=1")
+	is.Equal(got.Host, "a")
+	is.Equal(got.Header.Get("X-Api-Key"), "")
+	is.Equal(got.Header.Get("Baobabpaddle-Tenant"), "north")
+	is.Equal(got.Header.Get("Baobabpaddle-Hold"), "")
+	is.Equal(got.Header.Get("Baobabpaddle-Expect-Instance"), "a")
+	is.Equal(got.Header.Get("X-Mine"), "")
+	is.Equal(got.Header.Get("X-Other"), "2")
+	is.True(len(got.Header.Get("Baobabpaddle-Deadline-Ms")) <= 3)
+}
+
+// TestWhoIsServed checks keys and routes under a configuration that is known to
+// be recent, and under one that is not.
+func TestWhoIsServed(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, reply("200 OK", stamp, "yes"))
+	status := func(path string, headers ...string) int {
+		response, _, err := b.ask("POST", path, headers...)
+		is.NoErr(err)
+		return response.StatusCode
+	}
+	is.Equal(status("/nowhere/"), 404)
+	is.Equal(status("/draft/", "X-Api-Key", "key-2"), 401)
+	is.Equal(status("/draft/"), 401)
+	is.Equal(status("/book/"), 200)
+	b.fleet.view.ProvenUntil = steady.Now()
+	is.Equal(status("/nowhere/"), 503)
+	is.Equal(status("/draft/", "X-Api-Key", "key-2"), 503)
+	is.Equal(status("/draft/", "X-Api-Key", "key-1"), 503)
+	is.Equal(status("/book/"), 200) // open to all, whatever the configuration's age
+	b.fleet.view.Table = nil
+	is.Equal(status("/book/"), 503)
+}
+
+// TestBadInput sends what nothing must come of.
+func TestBadInput(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, reply("200 OK", stamp, "yes"))
+	response, _, err := b.ask("POST", "/book/", "Baobabpaddle-Deadline-Ms", "soon")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 400)
+	request, err := http.NewRequest("POST", b.server.URL+"/book/", strings.NewReader(strings.Repeat("x", 1001)))
+	is.NoErr(err)
+	request.Host = "a"
+	large, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	large.Body.Close()
+	is.Equal(large.StatusCode, 413)
+	is.Equal(b.runs(), 0)
+}
+
+// TestDrainRefusesWhatItCannotFinish lets short requests through until the end
+// and refuses, with a promise, what would be cut off.
+func TestDrainRefusesWhatItCannotFinish(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, stream(event1, true))
+	b.handler.Drain(time.Now().Add(3 * time.Second))
+	response, _, err := b.ask("POST", "/draft/", "X-Api-Key", "key-1")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 200) // its timeout is 2 s
+	is.True(response.Close)
+	b.handler.Drain(time.Now().Add(time.Second))
+	response, _, err = b.ask("POST", "/draft/", "X-Api-Key", "key-1")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 503)
+	is.True(response.Header.Get("Retry-After") != "")
+	is.Equal(b.runs(), 1)
+}
+
+// TestRefusalTellsWhenToReturn passes the time on in fractions of seconds.
+func TestRefusalTellsWhenToReturn(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	b.fleet.refuse = &dispatch.Decision{
+		Reason:     dispatch.OverShare,
+		RetryAfter: 650 * time.Millisecond,
+	}
+	response, _, err := b.ask("POST", "/book/")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 429)
+	is.Equal(response.Header.Get("Retry-After"), "0.650")
+}
--- /dev/null
+++ b/gateway/internal/upstream/client_test.go
@@ -0,0 +1,289 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const idHeader = "Attempt"
+
+// fakeUpstream answers connections by a script and counts what it received.
+type fakeUpstream struct {
+	listener net.Listener
+	requests atomic.Int64
+	conns    atomic.Int64
+}
+
+// serve starts an upstream; each connection is handled by handle until it
+// returns false or the connection ends.
+func serve(t *testing.T, handle func(n int64, w net.Conn, r *bufio.Reader, request *http.Request) bool) *fakeUpstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &fakeUpstream{
+		listener: l,
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.conns.Add(1)
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					request, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					if !handle(u.requests.Add(1), c, r, request) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return u
+}
+
+func (u *fakeUpstream) address() string { return u.listener.Addr().String() }
+
+func say(w io.Writer, text string) { _, _ = io.WriteString(w, text) }
+
+func newClient() *Client {
+	return New(func(_ int, h http.Header) string { return h.Get(idHeader) })
+}
+
+func request(id string, body string) Request {
+	return Request{
+		Method:   http.MethodPost,
+		Head:     []byte("POST /x HTTP/1.1\r\nHost: a\r\nAttempt: " + id + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n"),
+		Body:     []byte(body),
+		ID:       id,
+		Deadline: time.Now().Add(5 * time.Second),
+	}
+}
+
+func ok(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nAttempt: " + id + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func exchange(t *testing.T, c *Client, address string, r Request) (string, error) {
+	t.Helper()
+	a, err := c.Send(context.Background(), address, r)
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a)
+	return string(body), err
+}
+
+// TestConnectionIsUsedAgain sends two requests, one after the other.
+func TestConnectionIsUsedAgain(t *testing.T) {
+	is := is.New(t)
+	u := serve(t, func(_ int64, w net.Conn, _ *bufio.Reader, r *http.Request) bool {
+		_, _ = io.Copy(io.Discard, r.Body)
+		say(w, ok(r.Header.Get(idHeader), "yes"))
+		return true
+	})
+	c := newClient()
+	for _, id := range []string{"a", "b"} {
+		body, err := exchange(t, c, u.address(), request(id, "body"))
+		is.NoErr(err)
+		is.Equal(body, "yes")
+	}
+	is.Equal(u.conns.Load(), int64(1))
+}
+
+// TestNothingIsSentTwice breaks the connection after the request was read, on a
+// connection that was used before: net/http's transport would send it again.
+func TestNothingIsSentTwice(t *testing.T) {
+	is := is.New(t)
+	u := serve(t, func(n int64, w net.Conn, _ *bufio.Reader, r *http.Request) bool {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if n == 2 {
+			return false
+		}
+		say(w, ok(r.Header.Get(idHeader), "yes"))
+		return true
+	})
+	c := newClient()
+	_, err := exchange(t, c, u.address(), request("a", "body"))
+	is.NoErr(err)
+	_, err = exchange(t, c, u.address(), request("b", "body"))
+	is.True(errors.Is(err, ErrBroken))
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(u.requests.Load(), int64(2))
+}
+
+// TestClosedIdleConnectionIsNotUsed lets the upstream close a connection that
+// waits: the next request goes out on a new one and is not lost.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	u := serve(t, func(_ int64, w net.Conn, _ *bufio.Reader, r *http.Request) bool {
+		_, _ = io.Copy(io.Discard, r.Body)
+		say(w, ok(r.Header.Get(idHeader), "yes"))
+		return false
+	})
+	c := newClient()
+	_, err := exchange(t, c, u.address(), request("a", "body"))
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond)
+	body, err := exchange(t, c, u.address(), request("b", "body"))
+	is.NoErr(err)
+	is.Equal(body, "yes")
+}
+
+// TestForeignAnswers sends answers that belong to other requests, early, late and
+// without end: no caller sees them.
+func TestForeignAnswers(t *testing.T) {
+	for name, script := range map[string]func(id string) string{
+		"an answer behind the answer": func(id string) string { return ok(id, "yes") + ok(id, "again") },
+		"an answer before the answer": func(id string) string { return ok("other", "no") + ok(id, "yes") },
+		"bytes behind the answer":     func(id string) string { return ok(id, "yes") + "rubbish" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := serve(t, func(_ int64, w net.Conn, _ *bufio.Reader, r *http.Request) bool {
+				_, _ = io.Copy(io.Discard, r.Body)
+				say(w, script(r.Header.Get(idHeader)))
+				return true
+			})
+			c := newClient()
+			for _, id := range []string{"a", "b", "c"} {
+				body, err := exchange(t, c, u.address(), request(id, "body"))
+				is.NoErr(err)
+				is.Equal(body, "yes")
+			}
+		})
+	}
+}
+
+// TestAnswersThatAreNotWhole breaks answers off in every framing.
+func TestAnswersThatAreNotWhole(t *testing.T) {
+	for name, text := range map[string]string{
+		"with a length": "HTTP/1.1 200 OK\r\nAttempt: a\r\nContent-Length: 10\r\n\r\nhalf",
+		"in chunks":     "HTTP/1.1 200 OK\r\nAttempt: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"bad chunk":     "HTTP/1.1 200 OK\r\nAttempt: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhalf\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := serve(t, func(_ int64, w net.Conn, _ *bufio.Reader, _ *http.Request) bool {
+				say(w, text)
+				return false
+			})
+			_, err := exchange(t, newClient(), u.address(), request("a", ""))
+			is.True(err != nil)
+		})
+	}
+}
+
+// TestAnswerWithoutLength ends with its connection: whole after an orderly end,
+// not whole after a reset.
+func TestAnswerWithoutLength(t *testing.T) {
+	for name, reset := range map[string]bool{
+		"closed": false,
+		"reset":  true,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := serve(t, func(_ int64, w net.Conn, _ *bufio.Reader, _ *http.Request) bool {
+				say(w, "HTTP/1.1 200 OK\r\nAttempt: a\r\nConnection: close\r\n\r\nall")
+				if reset {
+					time.Sleep(50 * time.Millisecond)
+					_ = w.(*net.TCPConn).SetLinger(0)
+				}
+				return false
+			})
+			a, err := newClient().Send(context.Background(), u.address(), request("a", ""))
+			is.NoErr(err)
+			defer a.Close()
+			is.True(!a.Framed())
+			body, err := io.ReadAll(a)
+			is.Equal(string(body), "all")
+			is.Equal(err != nil, reset)
+		})
+	}
+}
+
+// TestEarlyAnswer answers before a long body is read, and reads on later: the
+// connection carries nothing else before the body's end.
+func TestEarlyAnswer(t *testing.T) {
+	is := is.New(t)
+	long := strings.Repeat("x", 4<<20)
+	intact := make(chan bool, 2)
+	u := serve(t, func(_ int64, w net.Conn, _ *bufio.Reader, r *http.Request) bool {
+		say(w, ok(r.Header.Get(idHeader), "early"))
+		time.Sleep(100 * time.Millisecond)
+		got, err := io.ReadAll(r.Body)
+		intact <- err == nil && len(got) == len(long)
+		return true
+	})
+	c := newClient()
+	for _, id := range []string{"a", "b"} {
+		body, err := exchange(t, c, u.address(), request(id, long))
+		is.NoErr(err)
+		is.Equal(body, "early")
+		is.True(<-intact)
+	}
+}
+
+// TestCallerLeaves ends the context while the upstream is silent.
+func TestCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	gone := make(chan struct{})
+	u := serve(t, func(_ int64, _ net.Conn, r *bufio.Reader, _ *http.Request) bool {
+		_, _ = r.ReadByte() // returns when the other end closes
+		close(gone)
+		return false
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := newClient().Send(ctx, u.address(), request("a", ""))
+	is.True(errors.Is(err, ErrBroken))
+	select {
+	case <-gone:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection is still open")
+	}
+}
+
+// TestUnreachable tells that nothing was sent.
+func TestUnreachable(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	l.Close()
+	_, err = newClient().Send(context.Background(), address, request("a", ""))
+	is.True(errors.Is(err, ErrUnreachable))
+}
+
+// TestIdleTime follows the upstream's own time.
+func TestIdleTime(t *testing.T) {
+	is := is.New(t)
+	is.Equal(idleTime(http.Header{}), maxIdle)
+	is.Equal(idleTime(http.Header{
+		"Keep-Alive": {"timeout=5, max=10"},
+	}), 3*time.Second)
+	is.Equal(idleTime(http.Header{
+		"Keep-Alive": {"timeout=0"},
+	}), time.Duration(0))
+}
