--- a/gateway/internal/serve/handler_test.go
+++ b/gateway/internal/serve/handler_test.go
@@ -157,9 +157,9 @@
 }
 
 // ask sends a request as a caller.
-func (b *bed) ask(method, path string, headers ...string) (*http.Response, string, error) {
+func (b *bed) ask(path string, headers ...string) (*http.Response, string, error) {
 	b.t.Helper()
-	request, err := http.NewRequest(method, b.server.URL+path, strings.NewReader("body"))
+	request, err := http.NewRequest(http.MethodPost, b.server.URL+path, strings.NewReader("body"))
 	if err != nil {
 		b.t.Fatal(err)
 	}
@@ -242,7 +242,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			b := newBed(t, c.scripts...)
-			response, _, err := b.ask("POST", c.path)
+			response, _, err := b.ask(c.path)
 			is.NoErr(err)
 			is.Equal(response.StatusCode, c.status)
 			is.Equal(response.Header.Get("Retry-After") != "", c.promise)
@@ -262,7 +262,7 @@
 		Address: l.Addr().String(),
 	}
 	l.Close()
-	response, _, err := b.ask("POST", "/book/")
+	response, _, err := b.ask("/book/")
 	is.NoErr(err)
 	is.Equal(response.StatusCode, 503)
 	is.True(response.Header.Get("Retry-After") != "")
@@ -297,7 +297,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			b := newBed(t, c.scripts...)
-			response, body, err := b.ask("POST", c.path, "X-Api-Key", "key-1")
+			response, body, err := b.ask(c.path, "X-Api-Key", "key-1")
 			is.True(response != nil)
 			is.Equal(body, c.body)
 			is.Equal(err == nil, c.whole)
@@ -313,7 +313,7 @@
 func TestHeaders(t *testing.T) {
 	is := is.New(t)
 	b := newBed(t, stream(event1, true))
-	_, _, err := b.ask("POST", "/chat/x%2Fy?q=1", "X-Api-Key", "key-1", "Baobabpaddle-Tenant", "south",
+	_, _, err := b.ask("/chat/x%2Fy?q=1", "X-Api-Key", "key-1", "Baobabpaddle-Tenant", "south",
 		"Baobabpaddle-Hold", "h", "Connection", "X-Mine", "X-Mine", "1", "X-Other", "2", "Baobabpaddle-Deadline-Ms", "700")
 	is.NoErr(err)
 	got := b.received[0]
@@ -334,7 +334,7 @@
 	is := is.New(t)
 	b := newBed(t, reply("200 OK", stamp, "yes"))
 	status := func(path string, headers ...string) int {
-		response, _, err := b.ask("POST", path, headers...)
+		response, _, err := b.ask(path, headers...)
 		is.NoErr(err)
 		return response.StatusCode
 	}
@@ -355,10 +355,10 @@
 func TestBadInput(t *testing.T) {
 	is := is.New(t)
 	b := newBed(t, reply("200 OK", stamp, "yes"))
-	response, _, err := b.ask("POST", "/book/", "Baobabpaddle-Deadline-Ms", "soon")
+	response, _, err := b.ask("/book/", "Baobabpaddle-Deadline-Ms", "soon")
 	is.NoErr(err)
 	is.Equal(response.StatusCode, 400)
-	request, err := http.NewRequest("POST", b.server.URL+"/book/", strings.NewReader(strings.Repeat("x", 1001)))
+	request, err := http.NewRequest(http.MethodPost, b.server.URL+"/book/", strings.NewReader(strings.Repeat("x", 1001)))
 	is.NoErr(err)
 	request.Host = "a"
 	large, err := http.DefaultClient.Do(request)
@@ -374,12 +374,12 @@
 	is := is.New(t)
 	b := newBed(t, stream(event1, true))
 	b.handler.Drain(time.Now().Add(3 * time.Second))
-	response, _, err := b.ask("POST", "/draft/", "X-Api-Key", "key-1")
+	response, _, err := b.ask("/draft/", "X-Api-Key", "key-1")
 	is.NoErr(err)
 	is.Equal(response.StatusCode, 200) // its timeout is 2 s
 	is.True(response.Close)
 	b.handler.Drain(time.Now().Add(time.Second))
-	response, _, err = b.ask("POST", "/draft/", "X-Api-Key", "key-1")
+	response, _, err = b.ask("/draft/", "X-Api-Key", "key-1")
 	is.NoErr(err)
 	is.Equal(response.StatusCode, 503)
 	is.True(response.Header.Get("Retry-After") != "")
@@ -394,7 +394,7 @@
 		Reason:     dispatch.OverShare,
 		RetryAfter: 650 * time.Millisecond,
 	}
-	response, _, err := b.ask("POST", "/book/")
+	response, _, err := b.ask("/book/")
 	is.NoErr(err)
 	is.Equal(response.StatusCode, 429)
 	is.Equal(response.Header.Get("Retry-After"), "0.650")
