--- a/controller/internal/replica/replica.go
+++ b/controller/internal/replica/replica.go
@@ -23,6 +23,9 @@
 	maxGroup             = 512
 	requestQueue         = 4096
 	readTimeout          = 2 * time.Second
+	// handOverTimeout bounds the wait for another leader: a few syncs and round
+	// trips.
+	handOverTimeout = 300 * time.Millisecond
 )
 
 // Errors of a Replica.
@@ -168,15 +171,16 @@
 func (r *Replica) Run(ctx context.Context) error {
 	defer close(r.stopped)
 	defer r.network.wait()
-	ctx, cancel := context.WithCancel(ctx)
+	// The links outlive the context, so that the lead can be handed over.
+	links, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	r.network.start(ctx)
+	r.network.start(links)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return r.handOver()
 		case p := <-r.proposals:
 			r.propose(p)
 		case m := <-r.members:
@@ -197,6 +201,29 @@
 	}
 }
 
+// handOver lets another replica lead, if this one does, before it stops.
+func (r *Replica) handOver() error {
+	if r.core.Role() != raft.Leader {
+		return nil
+	}
+	end := time.After(handOverTimeout)
+	asked := false
+	for r.core.Role() == raft.Leader {
+		asked = asked || r.core.Transfer()
+		if err := r.settle(); err != nil {
+			return err
+		}
+		select {
+		case messages := <-r.inbox:
+			r.step(messages)
+		case <-end:
+			r.log.Warn("nobody took over the lead in time")
+			return nil
+		}
+	}
+	return r.settle()
+}
+
 // drainRequests takes what else waits, so that it shares one sync.
 func (r *Replica) drainRequests() {
 	if r.settings.NoGroups {
--- a/fleet/raft/core.go
+++ b/fleet/raft/core.go
@@ -96,6 +96,7 @@
 	heartbeatDue   time.Time
 	quorumCheckDue time.Time
 	leaderHeard    time.Time
+	transfer       bool // the next election was asked for by the leader
 
 	out Output
 }
--- a/fleet/raft/election.go
+++ b/fleet/raft/election.go
@@ -4,6 +4,8 @@
 
 // campaign starts a pre-vote, or a vote when the pre-vote was won.
 func (c *Core) campaign(now time.Time, pre bool) {
+	transfer := c.transfer
+	c.transfer = false
 	c.leader = 0
 	c.votes = map[uint64]bool{c.settings.ID: true}
 	term := c.hard.Term + 1
@@ -28,6 +30,8 @@
 				Term:    term,
 				Index:   c.log.lastIndex(),
 				LogTerm: c.log.lastTerm(),
+
+				Transfer: transfer,
 			})
 		}
 	}
@@ -105,7 +109,7 @@
 	if pre {
 		reply = MsgPreVoteReply
 	}
-	if c.leaderAlive(now) {
+	if c.leaderAlive(now) && !m.Transfer {
 		return
 	}
 	if !pre && m.Term > c.hard.Term {
@@ -134,6 +138,36 @@
 	})
 }
 
+// Transfer asks a voter that has the whole log to become leader, so that a leader
+// that stops leaves no gap. It returns false while there is none. When the message
+// is lost, an election follows as usual.
+func (c *Core) Transfer() bool {
+	if c.role != Leader {
+		return false
+	}
+	for _, m := range c.members.List {
+		if p := c.peers[m.ID]; m.Voter && p != nil && p.match == c.log.lastIndex() {
+			c.send(Message{
+				Type: MsgTransfer,
+				To:   m.ID,
+			})
+			return true
+		}
+	}
+	return false
+}
+
+// stepTransfer stands for election at once, if the leader asks for it.
+func (c *Core) stepTransfer(now time.Time, m Message) {
+	self, ok := c.members.Find(c.settings.ID)
+	if c.role != Follower || c.leader != m.From || m.Term != c.hard.Term || !ok || !self.Voter {
+		return
+	}
+	c.transfer = true
+	c.resetElection(now)
+	c.campaign(now, false)
+}
+
 func (c *Core) stepVoteReply(now time.Time, m Message) {
 	want := Candidate
 	term := c.hard.Term
--- a/fleet/raft/message.go
+++ b/fleet/raft/message.go
@@ -14,6 +14,8 @@
 	MsgSnapshot
 	MsgRead
 	MsgReadReply
+	// MsgTransfer asks a voter to become leader in the sender's place.
+	MsgTransfer
 )
 
 // EntryKind names what an Entry carries.
@@ -87,6 +89,8 @@
 	Hint     uint64      `cbor:"10,keyasint,omitempty"`
 	Context  uint64      `cbor:"11,keyasint,omitempty"`
 	Snapshot *Snapshot   `cbor:"12,keyasint,omitempty"`
+	// Transfer marks a vote that the leader itself has asked for.
+	Transfer bool `cbor:"13,keyasint,omitempty"`
 }
 
 // ReadState tells that a linearizable read may be served once Index is applied.
--- a/fleet/raft/replication.go
+++ b/fleet/raft/replication.go
@@ -49,6 +49,8 @@
 		c.stepAppendReply(now, m)
 	case MsgSnapshot:
 		c.stepSnapshot(now, m)
+	case MsgTransfer:
+		c.stepTransfer(now, m)
 	case MsgRead:
 		c.addRead(now, pendingRead{
 			from:  m.From,
--- a/fleet/raft/schedules_test.go
+++ b/fleet/raft/schedules_test.go
@@ -73,6 +73,7 @@
 	healthy bool
 	lost    []uint64 // identifiers whose disks are gone and must be replaced
 	broken  string
+	quiet   bool // clients ask for nothing
 	managed bool // leaders replace silent voters by themselves
 }
 
@@ -310,7 +311,7 @@
 			s.settle(n)
 		}
 	}
-	if s.random.IntN(3) == 0 {
+	if s.random.IntN(3) == 0 && !s.quiet {
 		s.client()
 	}
 	s.checkPrefixes()
