raft, dispatch: a short first election timeout; a gateway alone takes others to do as it does

After all machines lost power a leader came 1.0 s after the start; replicas that start now stand after 150 to 300 ms, which the pre-vote keeps from disturbing a living leader. A gateway without a leader counted only its own requests at each engine; it now takes the other gateways to have sent as many.

--- a/controller/serve.go
+++ b/controller/serve.go
@@ -126,6 +126,7 @@
 		Raft: raft.Settings{
 			ElectionTimeout:   serveElectionTimeout,
 			HeartbeatInterval: serveHeartbeatInterval,
+			StartTimeout:      serveStartTimeout,
 			MaxVoters:         serveMaxVoters,
 			ReplaceAfter:      serveReplaceAfter,
 		},
--- a/controller/serve_settings.go
+++ b/controller/serve_settings.go
@@ -82,7 +82,8 @@
 // gateways stop serving keys a few seconds after the last proof that their
 // configuration is the newest.
 const (
-	serveElectionTimeout   = 600 * time.Millisecond
+	serveElectionTimeout   = 500 * time.Millisecond
+	serveStartTimeout      = 150 * time.Millisecond
 	serveHeartbeatInterval = 100 * time.Millisecond
 	serveReplaceAfter      = 2500 * time.Millisecond
 	serveLinkHeartbeat     = 300 * time.Millisecond
--- a/fleet/dispatch/core.go
+++ b/fleet/dispatch/core.go
@@ -138,7 +138,7 @@
 	if best == nil {
 		return c.refuse(r, NoUpstream)
 	}
-	ahead, own := reading(best.unread), reading(unread)
+	ahead, own := reading(c.whole(best.unread)), reading(unread)
 	kind := c.class(r.Class)
 	size := reading(kind.see(now, float64(r.Prompt.Tokens), unread))
 	objective := float64(r.Objective)
@@ -202,6 +202,10 @@
 	return time.Duration(tokens / readTokensPerMilli * float64(time.Millisecond))
 }
 
+// whole returns what the whole fleet has at an upstream, given what this core
+// knows of: others are taken to do as it does itself.
+func (c *Core) whole(part float64) float64 { return part / c.settings.Portion }
+
 // bestEngine returns the engine that costs a request least, and the tokens that
 // it would have to read.
 func (c *Core) bestEngine(now time.Time, r Request) (*engine, float64) {
@@ -212,12 +216,13 @@
 			continue
 		}
 		unread, shared := e.kept.unreadTokens(r.Prompt)
-		total := e.unread + unread + runningCost*float64(e.running) + rereadCost*shared
+		running := c.whole(float64(e.running))
+		total := c.whole(e.unread) + unread + runningCost*running + rereadCost*shared
 		if e.Zone != r.Zone {
 			total += zoneCost
 		}
-		if e.Slots > 0 && e.running >= e.Slots {
-			total += float64(e.running-e.Slots+1) * 2000
+		if e.Slots > 0 && running >= float64(e.Slots) {
+			total += (running - float64(e.Slots) + 1) * slotCost
 		}
 		if best == nil || total < bestCost {
 			best = e
@@ -235,9 +240,9 @@
 		if !e.usable(now, r.Repeatable) || slices.Contains(r.Tried, e.ID) {
 			continue
 		}
-		load := float64(e.running)
+		load := c.whole(float64(e.running))
 		if e.Zone != r.Zone {
-			load += 1.5
+			load += plainZoneCost
 		}
 		if best == nil || load < bestLoad {
 			best = e
@@ -247,7 +252,7 @@
 	if best == nil {
 		return c.refuse(r, NoUpstream)
 	}
-	if best.Slots > 0 && float64(best.running) >= float64(best.Slots)*(1+queuePerSlot) {
+	if best.Slots > 0 && c.whole(float64(best.running)) >= float64(best.Slots)*(1+queuePerSlot) {
 		return c.refuse(r, Busy)
 	}
 	c.place(Key{
--- a/fleet/dispatch/settings.go
+++ b/fleet/dispatch/settings.go
@@ -35,6 +35,12 @@
 	rereadCost = 8.0
 	// zoneCost is what another availability zone costs, in prompt tokens.
 	zoneCost = 300.0
+	// slotCost is what waiting for a place costs, in prompt tokens for each request
+	// beyond the places.
+	slotCost = 2000.0
+	// plainZoneCost is what another availability zone costs for a plain service, in
+	// running requests.
+	plainZoneCost = 1.5
 	// queuePerSlot is how many requests may wait at a plain service's upstream
 	// for each slot.
 	queuePerSlot = 1.0
--- a/fleet/raft/core.go
+++ b/fleet/raft/core.go
@@ -36,6 +36,11 @@
 	HeartbeatInterval time.Duration
 	MaxAppendEntries  int
 	MaxUncommitted    int
+	// StartTimeout is the election timeout right after a start, shorter than the
+	// others, so that replicas that start together soon have a leader. A leader
+	// that is alive is not disturbed, since the pre-vote is refused. Zero means
+	// ElectionTimeout.
+	StartTimeout time.Duration
 	// MaxVoters bounds the voters that the leader keeps by itself: an odd number
 	// of them, learners standing by to replace those that fall silent. Zero makes
 	// every learner a voter and replaces none.
@@ -132,6 +137,9 @@
 	c.hard.Commit = min(max(c.hard.Commit, restored.Snapshot.Index), c.log.lastIndex())
 	c.findMembers()
 	c.resetElection(now)
+	if settings.StartTimeout > 0 {
+		c.electionDue = now.Add(c.jittered(settings.StartTimeout))
+	}
 	return c
 }
 
@@ -239,8 +247,12 @@
 }
 
 func (c *Core) resetElection(now time.Time) {
-	jitter := time.Duration(c.random.Int64N(int64(c.settings.ElectionTimeout)))
-	c.electionDue = now.Add(c.settings.ElectionTimeout + jitter)
+	c.electionDue = now.Add(c.jittered(c.settings.ElectionTimeout))
+}
+
+// jittered returns a time drawn from one to two timeouts.
+func (c *Core) jittered(timeout time.Duration) time.Duration {
+	return timeout + time.Duration(c.random.Int64N(int64(timeout)))
 }
 
 func (c *Core) becomeFollower(now time.Time, term, leader uint64) {
