gateway: a controller that does not answer holds no gateway up

After power came back the gateways were linked 0.7 to 0.9 s after there was a leader: one round asked all known controllers and waited for the slowest, which was still without power. Each controller is now asked by itself, again every 40 ms, and a dial takes at most 0.4 s.

--- a/controller/serve_settings.go
+++ b/controller/serve_settings.go
@@ -87,7 +87,7 @@
 	serveHeartbeatInterval = 100 * time.Millisecond
 	serveReplaceAfter      = 2500 * time.Millisecond
 	serveLinkHeartbeat     = 300 * time.Millisecond
-	serveDialTimeout       = time.Second
+	serveDialTimeout       = 400 * time.Millisecond
 	serveMaxBackoff        = 300 * time.Millisecond
 	// serveMaxVoters is the largest number of voting controllers.
 	serveMaxVoters = 7
--- a/gateway/internal/controller/find.go
+++ b/gateway/internal/controller/find.go
@@ -9,8 +9,8 @@
 	"baobabpaddle/fleet/wire"
 )
 
-// findInterval is the pause between two searches for the leader.
-const findInterval = 150 * time.Millisecond
+// findInterval is the pause before a controller that does not lead is asked again.
+const findInterval = 40 * time.Millisecond
 
 // keep holds a link to the leader until the context ends.
 func (l *Link) keep(ctx context.Context) {
@@ -18,11 +18,6 @@
 		if c, first := l.find(ctx); c != nil {
 			l.use(c, first)
 			c.Close()
-			continue
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(findInterval):
 		}
 	}
 }
@@ -45,40 +40,66 @@
 	}
 }
 
-// found is a link to the leader with its first frame.
+// found is a link to the leader with its first frame; without a link the target
+// does not lead or does not answer.
 type found struct {
-	conn  *link.Conn[wire.Serve]
-	first wire.Serve
+	target string
+	conn   *link.Conn[wire.Serve]
+	first  wire.Serve
 }
 
-// find asks all known controllers at once and returns a link to the one that
-// leads, or nil.
+// find asks all known controllers, each again and again, until one leads, and
+// returns a link to it. One that does not answer holds nobody up. The result is nil
+// when the context ends.
 func (l *Link) find(ctx context.Context) (*link.Conn[wire.Serve], wire.Serve) {
 	ctx, cancel := context.WithCancel(ctx)
 	answers := make(chan found)
-	targets := l.targets()
-	for _, target := range targets {
-		go func() { answers <- l.ask(ctx, target) }()
-	}
-	for n := range targets {
-		f := <-answers
-		if f.conn == nil {
-			continue
+	asking := make(map[string]bool)
+	ticker := time.NewTicker(findInterval)
+	defer ticker.Stop()
+	for {
+		for _, target := range l.targets() {
+			if !asking[target] {
+				asking[target] = true
+				go func() { answers <- l.ask(ctx, target) }()
+			}
 		}
-		// The rest is closed when it comes; the context must outlive the link.
-		go func() {
-			for range len(targets) - n - 1 {
-				if late := <-answers; late.conn != nil {
-					late.conn.Close()
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+		for waiting := true; waiting; {
+			select {
+			case f := <-answers:
+				delete(asking, f.target)
+				if f.conn != nil {
+					// The context must outlive the link.
+					go l.discard(answers, len(asking), f.conn, cancel)
+					return f.conn, f.first
 				}
+			default:
+				waiting = false
 			}
-			<-f.conn.Done()
-			cancel()
-		}()
-		return f.conn, f.first
+		}
+		if ctx.Err() != nil {
+			go l.discard(answers, len(asking), nil, cancel)
+			return nil, wire.Serve{}
+		}
+	}
+}
+
+// discard closes links that are found too late, and ends their context once the
+// link in use has ended.
+func (l *Link) discard(answers <-chan found, open int, used *link.Conn[wire.Serve], cancel context.CancelFunc) {
+	for range open {
+		if late := <-answers; late.conn != nil {
+			late.conn.Close()
+		}
+	}
+	if used != nil {
+		<-used.Done()
 	}
 	cancel()
-	return nil, wire.Serve{}
 }
 
 func (l *Link) targets() []string {
@@ -97,7 +118,9 @@
 func (l *Link) ask(ctx context.Context, address string) found {
 	c, err := link.Dial[wire.Serve](ctx, l.dialer, address, wire.PathServe)
 	if err != nil {
-		return found{}
+		return found{
+			target: address,
+		}
 	}
 	version := uint64(0)
 	if v := l.view.Load(); v.Table != nil {
@@ -111,7 +134,9 @@
 		},
 	}) != nil {
 		c.Close()
-		return found{}
+		return found{
+			target: address,
+		}
 	}
 	first, err := c.Receive()
 	if err != nil || first.Welcome == nil || !first.Welcome.Leads {
@@ -119,9 +144,13 @@
 			l.known.Store(&first.Welcome.Controllers)
 		}
 		c.Close()
-		return found{}
+		return found{
+			target: address,
+		}
 	}
 	return found{
+		target: address,
+
 		conn:  c,
 		first: first,
 	}
--- a/gateway/serve_settings.go
+++ b/gateway/serve_settings.go
@@ -93,7 +93,7 @@
 	// proofPart leaves the rest of the time for clocks that run unevenly.
 	proofPart          = 0.85
 	serveLinkHeartbeat = 300 * time.Millisecond
-	serveDialTimeout   = time.Second
+	serveDialTimeout   = 400 * time.Millisecond
 	// lookInterval is how often the balancer asks for readiness.
 	lookInterval = time.Second
 	// unreadyTime is how long new connections may still come after readiness
