--- a/fleet/dispatch/core.go
+++ b/fleet/dispatch/core.go
@@ -121,11 +121,14 @@
 }
 
 func (c *Core) refuse(r Request, reason Reason) Decision {
-	span := float64(maxRetryAfter - minRetryAfter)
+	first, last := float64(minRetryAfter), float64(maxRetryAfter)
+	if reason == OverShare {
+		first, last = firstReturnPart*float64(r.Objective), lastReturnPart*float64(r.Objective)
+	}
 	return Decision{
 		ID:         r.ID,
 		Reason:     reason,
-		RetryAfter: minRetryAfter + time.Duration(c.random.Float64()*span),
+		RetryAfter: time.Duration(first + c.random.Float64()*(last-first)),
 	}
 }
 
