--- a/controller/internal/gateway/hub.go
+++ b/controller/internal/gateway/hub.go
@@ -23,8 +23,6 @@
 	eventQueue = 4096
 	// leadInterval is how often the lead is checked.
 	leadInterval = 100 * time.Millisecond
-	// pollInterval is how often requests that wait are looked at.
-	pollInterval = 5 * time.Millisecond
 	// welcomeTimeout bounds the confirmation that this controller leads.
 	welcomeTimeout = time.Second
 )
@@ -113,14 +111,7 @@
 	go h.watch(ctx)
 	ticker := time.NewTicker(leadInterval)
 	defer ticker.Stop()
-	poll := time.NewTimer(pollInterval)
-	defer poll.Stop()
-	polling := true
 	for {
-		if h.core.Holds() && !polling {
-			poll.Reset(pollInterval)
-			polling = true
-		}
 		select {
 		case <-ctx.Done():
 			h.closeAll()
@@ -128,9 +119,6 @@
 		case e := <-h.events:
 			h.handle(e)
 			h.drain()
-		case <-poll.C:
-			polling = false
-			h.poll()
 		case <-ticker.C:
 			if len(h.conns) > 0 && !h.replicas.IsLeader() {
 				h.log.Info("no longer leading, gateways are sent away", "gateways", len(h.conns))
@@ -148,32 +136,17 @@
 		case e := <-h.events:
 			h.handle(e)
 		default:
-			h.reply()
+			for c, decisions := range h.replies {
+				h.send(c, wire.Serve{
+					Decisions: decisions,
+				})
+				delete(h.replies, c)
+			}
 			return
 		}
 	}
 }
 
-// reply sends the decisions that were made.
-func (h *Hub) reply() {
-	for c, decisions := range h.replies {
-		h.send(c, wire.Serve{
-			Decisions: decisions,
-		})
-		delete(h.replies, c)
-	}
-}
-
-// poll decides on requests that wait for a place.
-func (h *Hub) poll() {
-	for _, a := range h.core.Poll(time.Now()) {
-		if c := h.conns[a.Gateway]; c != nil {
-			h.replies[c] = append(h.replies[c], a.Decision)
-		}
-	}
-	h.reply()
-}
-
 func (h *Hub) closeAll() {
 	for _, c := range h.conns {
 		c.Close()
--- a/fleet/dispatch/core.go
+++ b/fleet/dispatch/core.go
@@ -24,7 +24,6 @@
 	services map[string][]*engine
 	engines  map[string]*engine
 	placed   map[Key]*placed
-	held     []held // in order of arrival
 	shares   *shares
 	classes  map[string]*class
 }
@@ -113,29 +112,12 @@
 	}
 }
 
-// Place decides on a request that arrives now. A Decision that is Held is followed
-// by another one from Poll.
+// Place decides on a request that arrives now.
 func (c *Core) Place(now time.Time, gateway string, r Request) Decision {
-	if r.Prompt.Tokens == 0 {
-		return c.placePlain(now, gateway, r)
-	}
-	kind := c.class(r.Class)
-	kind.arrive(now, float64(r.Prompt.Tokens))
-	c.ask(now, r)
-	d := c.placeModel(now, gateway, r)
-	if d.Upstream != "" || d.Reason == NoUpstream {
-		return d
-	}
-	h := held{
-		gateway:  gateway,
-		request:  r,
-		deadline: now.Add(time.Duration(holdPart * float64(r.Objective))),
-	}
-	c.held = append(c.held, h)
-	return Decision{
-		ID:   r.ID,
-		Held: h.deadline.Sub(now),
+	if r.Prompt.Tokens > 0 {
+		return c.placeModel(now, gateway, r)
 	}
+	return c.placePlain(now, gateway, r)
 }
 
 func (c *Core) refuse(r Request, reason Reason) Decision {
@@ -153,18 +135,17 @@
 // cost is what a request counts for its team.
 func cost(p Prompt) float64 { return float64(p.Tokens) + 2*p.Output() }
 
-// placeModel gives a request a place at a model engine, or the reason why not.
 func (c *Core) placeModel(now time.Time, gateway string, r Request) Decision {
 	best, unread := c.bestEngine(now, r)
+	over := c.ask(now, r)
 	if best == nil {
 		return c.refuse(r, NoUpstream)
 	}
 	ahead, own := reading(c.whole(best.unread)), reading(unread)
 	kind := c.class(r.Class)
-	size := reading(kind.judge(float64(r.Prompt.Tokens), unread))
+	size := reading(kind.see(now, float64(r.Prompt.Tokens), unread))
 	objective := float64(r.Objective)
 	if !r.Resumed {
-		over := c.over(now, r)
 		if over && ahead+size > time.Duration(idlePart*objective*c.shares.lenience(c.shares.team(r.Team))) {
 			c.shares.team(r.Team).refused = c.shares.slot(now)
 			return c.refuse(r, OverShare)
@@ -188,25 +169,24 @@
 	}
 }
 
-// ask counts what a team asks for.
-func (c *Core) ask(now time.Time, r Request) {
-	if r.Team != "" && !r.Resumed {
-		c.shares.team(r.Team).asked.add(c.shares.slot(now), cost(r.Prompt))
-	}
-}
-
-// over reports whether a team has its share already.
-func (c *Core) over(now time.Time, r Request) bool {
+// ask counts what a team asks for and reports whether it is over its share.
+func (c *Core) ask(now time.Time, r Request) bool {
 	if r.Team == "" || c.table == nil {
 		return false
 	}
-	capacity := c.table.Configuration.Limits.TokensPerSecond * c.settings.ShareWindow.Seconds() * c.settings.Portion
+	span := c.settings.ShareWindow.Seconds()
+	capacity := c.table.Configuration.Limits.TokensPerSecond * span * c.settings.Portion
+	c.shares.update(now, capacity)
 	if capacity <= 0 {
 		return false
 	}
-	c.shares.update(now, capacity)
 	t := c.shares.team(r.Team)
-	t.admitted.advance(c.shares.slot(now))
+	slot := c.shares.slot(now)
+	tokens := cost(r.Prompt)
+	if !r.Resumed {
+		t.asked.add(slot, tokens)
+	}
+	t.admitted.advance(slot)
 	return t.admitted.total >= c.shares.level
 }
 
@@ -358,7 +338,6 @@
 func (c *Core) Ended(now time.Time, key Key, ending Ending) {
 	p := c.end(key)
 	if p == nil {
-		c.release(key)
 		return
 	}
 	e := p.engine
@@ -395,7 +374,6 @@
 			c.end(key)
 		}
 	}
-	c.held = slices.DeleteFunc(c.held, func(h held) bool { return h.gateway == gateway })
 }
 
 // Placement is a request that is at an upstream.
--- a/fleet/dispatch/model_test.go
+++ b/fleet/dispatch/model_test.go
@@ -76,8 +76,6 @@
 	engines map[string]*engineModel
 	events  []due
 	nextID  uint64
-	arrived map[uint64]time.Time
-	waiting map[uint64]func(Decision)
 }
 
 func table() *configuration.Table {
@@ -108,8 +106,6 @@
 		now:     epoch,
 		random:  rand.New(rand.NewPCG(seed, 2)),
 		engines: make(map[string]*engineModel),
-		arrived: make(map[uint64]time.Time),
-		waiting: make(map[uint64]func(Decision)),
 	}
 	w.core.SetConfiguration(table())
 	w.core.SetUpstreams(upstreams(engines))
@@ -179,10 +175,6 @@
 	for _, e := range ready {
 		e.run()
 	}
-	for _, a := range w.core.Poll(w.now) {
-		w.waiting[a.Decision.ID](a.Decision)
-		delete(w.waiting, a.Decision.ID)
-	}
 }
 
 func at(m map[string]*received, name string) *received {
@@ -194,7 +186,6 @@
 
 func (w *world) request(team string, l load) Request {
 	w.nextID++
-	w.arrived[w.nextID] = w.now
 	own := float64(l.tokens)
 	if l.spread > 0 {
 		own *= w.random.ExpFloat64()*l.spread + (1 - l.spread)
@@ -236,16 +227,7 @@
 	for _, g := range groups {
 		g.asked++
 	}
-	begin := func(d Decision) { w.begin(out, groups, l, r, d) }
-	if d := w.core.Place(w.now, gateway, r); d.Held > 0 {
-		w.waiting[r.ID] = begin
-	} else {
-		begin(d)
-	}
-}
-
-// begin lets the engine work on a request that was placed.
-func (w *world) begin(out *outcomeOf, groups []*received, l load, r Request, d Decision) {
+	d := w.core.Place(w.now, gateway, r)
 	if d.Upstream == "" {
 		return
 	}
@@ -262,12 +244,13 @@
 	}
 	e.free = begin.Add(time.Duration(unread / engineReads * float64(time.Millisecond)))
 	first := e.free
+	asked := w.now
 	w.at(first, func() {
 		w.core.Begun(w.now, key)
 		for _, g := range groups {
 			g.begun++
 			g.tokens += cost(r.Prompt)
-			if first.Sub(w.arrived[r.ID]) <= l.objective {
+			if first.Sub(asked) <= l.objective {
 				g.onTime++
 			}
 		}
--- a/fleet/dispatch/request.go
+++ b/fleet/dispatch/request.go
@@ -70,15 +70,12 @@
 // Decision answers a Request.
 type Decision struct {
 	ID uint64 `cbor:"1,keyasint"`
-	// Upstream is where to send the request; empty means that it is refused or held.
+	// Upstream is where to send the request; empty means that it is refused.
 	Upstream string `cbor:"2,keyasint,omitempty"`
 	// RetryAfter is when a refused caller should come back.
 	RetryAfter time.Duration `cbor:"3,keyasint,omitempty"`
 	// Reason tells why a request is refused.
 	Reason Reason `cbor:"4,keyasint,omitempty"`
-	// Held tells that the request waits for a place, and for how long at most before
-	// it is decided.
-	Held time.Duration `cbor:"6,keyasint,omitempty"`
 	// Wait is the estimated time until the upstream begins to answer.
 	Wait time.Duration `cbor:"5,keyasint,omitempty"`
 }
--- a/fleet/dispatch/settings.go
+++ b/fleet/dispatch/settings.go
@@ -27,7 +27,7 @@
 	longPart = 0.2
 	// idlePart is the part of the objective below which an engine counts as free
 	// for teams that are over their share.
-	idlePart = 0.03
+	idlePart = 0.06
 	// runningCost is what one running request costs a newcomer, in prompt tokens.
 	runningCost = 20.0
 	// rereadCost is what reading a token of a shared piece costs, beside the time
@@ -48,9 +48,6 @@
 	// between them the time is drawn, so that refused callers don't return at once.
 	minRetryAfter = 400 * time.Millisecond
 	maxRetryAfter = 1600 * time.Millisecond
-	// holdPart is the part of its objective for which a request may wait for a place
-	// before it is refused.
-	holdPart = 0.02
 	// firstReturnPart and lastReturnPart are the parts of its objective after which
 	// a caller over its share should come back: early enough to be on time.
 	firstReturnPart = 0.12
--- a/fleet/dispatch/size.go
+++ b/fleet/dispatch/size.go
@@ -39,14 +39,18 @@
 	faded  time.Time
 }
 
-// arrive counts a request whose prompt has a size.
-func (c *class) arrive(now time.Time, size float64) {
-	if c.faded.IsZero() {
+// see counts a request whose prompt has a size and returns how many tokens to be
+// read decide about it: unread, or less while requests of about its size are
+// refused more often than the others of their class; the result may be negative.
+func (c *class) see(now time.Time, size, unread float64) float64 {
+	if c.mean == 0 {
+		c.mean = unread
 		c.faded = now
 		for i := range c.bounds {
 			c.bounds[i] = size
 		}
 	}
+	c.mean += sizeWeight * (unread - c.mean)
 	for i, quantile := range sizeBounds {
 		if size > c.bounds[i] {
 			c.bounds[i] *= 1 + quantileStep*quantile
@@ -56,19 +60,9 @@
 	}
 	c.fade(now)
 	c.all.asked++
-	c.sizes[c.group(size)].asked++
-}
-
-// judge returns how many tokens to be read decide about a request: unread, or less
-// while requests of about its size are refused more often than the others of their
-// class; the result may be negative.
-func (c *class) judge(size, unread float64) float64 {
-	if c.mean == 0 {
-		c.mean = unread
-	}
-	c.mean += sizeWeight * (unread - c.mean)
 	group := c.group(size)
-	if c.all.admitted == 0 || group == 0 || c.sizes[group].asked == 0 {
+	c.sizes[group].asked++
+	if c.all.admitted == 0 || group == 0 {
 		return unread
 	}
 	chance := c.sizes[group].admitted / c.sizes[group].asked / (c.all.admitted / c.all.asked)
--- a/gateway/internal/controller/link.go
+++ b/gateway/internal/controller/link.go
@@ -56,7 +56,6 @@
 	request  dispatch.Request
 	answer   answer
 	deadline time.Time
-	alone    bool // the own core decides
 }
 
 // Link is the gateway's end of the link to the leader, and the gateway's own
@@ -73,6 +72,7 @@
 	core    *dispatch.Core
 	conn    *link.Conn[wire.Serve]
 	waiting map[uint64]waiting
+	order   []uint64 // of waiting, by deadline
 	out     wire.Serve
 	pings   map[uint64]steady.Time
 	ping    uint64
@@ -211,7 +211,6 @@
 			l.out.Begun = append(l.out.Begun, e.begun)
 		}
 	case e.ended != nil:
-		delete(l.waiting, e.ended.ID)
 		l.core.Ended(time.Now(), l.key(e.ended.ID), e.ended.Ending)
 		if l.conn != nil {
 			l.out.Ended = append(l.out.Ended, *e.ended)
@@ -233,50 +232,37 @@
 }
 
 func (l *Link) place(r dispatch.Request, a answer) {
-	now := time.Now()
-	w := waiting{
-		request:  r,
-		answer:   a,
-		deadline: now.Add(decisionTimeout),
-	}
 	if l.conn == nil {
-		l.decideAlone(now, w)
+		a <- l.core.Place(time.Now(), l.settings.Name, r)
 		return
 	}
-	l.waiting[r.ID] = w
+	l.waiting[r.ID] = waiting{
+		request:  r,
+		answer:   a,
+		deadline: time.Now().Add(decisionTimeout),
+	}
+	l.order = append(l.order, r.ID)
 	l.out.Places = append(l.out.Places, r)
 }
 
-// expire decides on requests whose decision is late, and on those that wait here.
+// expire decides on requests whose decision is late.
 func (l *Link) expire(now time.Time) {
-	for id, w := range l.waiting {
-		if !w.alone && now.After(w.deadline) {
-			delete(l.waiting, id)
-			l.decideAlone(now, w)
+	for len(l.order) > 0 {
+		id := l.order[0]
+		w, ok := l.waiting[id]
+		if ok && now.Before(w.deadline) {
+			return
 		}
-	}
-	for _, a := range l.core.Poll(now) {
-		w, ok := l.waiting[a.Decision.ID]
+		l.order = l.order[1:]
 		if ok {
-			delete(l.waiting, a.Decision.ID)
-			l.decide(w, a.Decision)
+			delete(l.waiting, id)
+			l.decideAlone(now, w)
 		}
 	}
 }
 
-// decideAlone has the own core decide, now or after a while.
 func (l *Link) decideAlone(now time.Time, w waiting) {
 	d := l.core.Place(now, l.settings.Name, w.request)
-	if d.Held > 0 {
-		w.alone = true
-		l.waiting[w.request.ID] = w
-		return
-	}
-	l.decide(w, d)
-}
-
-// decide answers with the own core's decision and tells the leader.
-func (l *Link) decide(w waiting, d dispatch.Decision) {
 	if d.Upstream != "" && l.conn != nil {
 		l.out.Sent = append(l.out.Sent, wire.Sent{
 			ID:       w.request.ID,
@@ -314,12 +300,13 @@
 	l.out = wire.Serve{}
 	clear(l.pings)
 	now := time.Now()
-	for id, w := range l.waiting {
-		if !w.alone {
+	for _, id := range l.order {
+		if w, ok := l.waiting[id]; ok {
 			delete(l.waiting, id)
 			l.decideAlone(now, w)
 		}
 	}
+	l.order = nil
 	l.log.Info("link to the leader lost")
 }
 
@@ -387,17 +374,13 @@
 
 func (l *Link) decided(now time.Time, d dispatch.Decision) {
 	w, ok := l.waiting[d.ID]
-	if !ok || w.alone {
+	if !ok {
 		return // decided here meanwhile, and the leader was told
 	}
-	if d.Held > 0 {
-		w.deadline = now.Add(d.Held + decisionTimeout)
-		l.waiting[d.ID] = w
-		return
-	}
 	delete(l.waiting, d.ID)
 	if d.Upstream != "" {
 		l.core.Sent(l.settings.Name, d.ID, d.Upstream, w.request.Prompt, false)
 	}
 	w.answer <- d
+	_ = now
 }
