serve: callers' connections are bounded in number and idle time

Ruled out: processor time (0.07 of 0.144 cores). Idle connections now end after the configuration's limit; beyond half of the open files the longest idle one is closed, and refused callers leave theirs beyond a quarter.

--- /dev/null
+++ b/gateway/internal/serve/conns.go
@@ -0,0 +1,125 @@
+package serve
+
+import (
+	"container/list"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Figures of callers' connections.
+const (
+	// connLook is how often idle connections are looked at.
+	connLook = 500 * time.Millisecond
+	// defaultIdle is how long a connection may be idle while the configuration sets
+	// no limit.
+	defaultIdle = time.Minute
+	// crowdedPart is the part of the connections that may be open beyond which
+	// connections are closed after a refusal: the caller comes back on another one.
+	crowdedPart = 0.5
+)
+
+// Conns bounds callers' connections: idle ones are closed after the time that the
+// configuration allows, and the one that is idle for longest when there are too
+// many.
+type Conns struct {
+	most int
+	idle func() time.Duration
+
+	mu     sync.Mutex
+	open   map[net.Conn]*list.Element // nil while a request is under way
+	waited list.List                  // of idleConn, the longest idle first
+}
+
+type idleConn struct {
+	conn  net.Conn
+	since time.Time
+}
+
+// NewConns returns the connections of a server, at most so many. Idle tells how
+// long one may be idle; zero is not set.
+func NewConns(most int, idle func() time.Duration) *Conns {
+	return &Conns{
+		most: most,
+		idle: idle,
+		open: make(map[net.Conn]*list.Element),
+	}
+}
+
+// State takes a change of a connection's state, as http.Server.ConnState.
+func (c *Conns) State(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e := c.open[conn]; e != nil {
+		c.waited.Remove(e)
+	}
+	switch state {
+	case http.StateNew, http.StateActive:
+		c.open[conn] = nil
+	case http.StateIdle:
+		c.open[conn] = c.waited.PushBack(idleConn{
+			conn:  conn,
+			since: time.Now(),
+		})
+	default:
+		delete(c.open, conn)
+	}
+	if state == http.StateNew && len(c.open) > c.most {
+		c.closeOldest()
+	}
+}
+
+// closeOldest closes the connection that is idle for longest; mu is held.
+func (c *Conns) closeOldest() {
+	if first := c.waited.Front(); first != nil {
+		// The server reports the end, which removes it from the open ones.
+		go first.Value.(idleConn).conn.Close()
+		c.waited.Remove(first)
+		c.open[first.Value.(idleConn).conn] = nil
+	}
+}
+
+// Crowded reports whether callers should leave their connections.
+func (c *Conns) Crowded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return float64(len(c.open)) > crowdedPart*float64(c.most)
+}
+
+// Open returns how many connections are open.
+func (c *Conns) Open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
+// Run closes connections that are idle for too long, until the context ends.
+func (c *Conns) Run(ctx context.Context) {
+	ticker := time.NewTicker(connLook)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			c.prune(now)
+		}
+	}
+}
+
+func (c *Conns) prune(now time.Time) {
+	limit := c.idle()
+	if limit <= 0 {
+		limit = defaultIdle
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for first := c.waited.Front(); first != nil; first = c.waited.Front() {
+		if now.Sub(first.Value.(idleConn).since) <= limit {
+			return
+		}
+		c.closeOldest()
+	}
+}
--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -50,6 +50,7 @@
 	zone     string
 	log      *slog.Logger
 	budget   *retryBudget
+	conns    *Conns
 
 	next     atomic.Uint64
 	inFlight atomic.Int64
@@ -64,11 +65,13 @@
 type Settings struct {
 	Zone  string
 	Retry RetrySettings
+	// MaxConns is how many connections callers may hold.
+	MaxConns int
 }
 
 // New returns a handler.
 func New(s Settings, fleet Fleet, client *upstream.Client, protocol call.Protocol, metrics *telemetry.Metrics, log *slog.Logger) *Handler {
-	return &Handler{
+	h := &Handler{
 		fleet:    fleet,
 		client:   client,
 		protocol: protocol,
@@ -78,6 +81,19 @@
 		requests: metrics.Histograms("gateway_request_seconds"),
 		first:    metrics.Histograms("gateway_first_byte_seconds"),
 	}
+	h.conns = NewConns(s.MaxConns, h.idleLimit)
+	return h
+}
+
+// Conns returns the callers' connections.
+func (h *Handler) Conns() *Conns { return h.conns }
+
+// idleLimit returns how long a caller's connection may be idle; zero is not set.
+func (h *Handler) idleLimit() time.Duration {
+	if t := h.fleet.View().Table; t != nil {
+		return time.Duration(t.Configuration.Limits.IdleTimeoutMillis) * time.Millisecond
+	}
+	return 0
 }
 
 // InFlight returns how many requests are being answered.
@@ -103,6 +119,9 @@
 
 // refuse answers with a problem. Nothing has run.
 func (h *Handler) refuse(w http.ResponseWriter, status int, code problem.Code, detail string, retry time.Duration) {
+	if h.conns.Crowded() {
+		w.Header().Set("Connection", "close")
+	}
 	if retry > 0 {
 		w.Header().Set("Retry-After", h.protocol.RetryAfter(retry))
 	}
--- a/gateway/internal/serve/handler_test.go
+++ b/gateway/internal/serve/handler_test.go
@@ -110,6 +110,7 @@
 	}
 	protocol := platform.Headers{}
 	b.handler = New(Settings{
+		MaxConns: 1000,
 		Retry: RetrySettings{
 			Ratio:  0.2,
 			Slack:  20,
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -72,7 +72,8 @@
 	go p.link.Run(life)
 	go p.prune(life)
 	server := program.NewServer(p.handler)
-	server.IdleTimeout = idleTimeout
+	server.ConnState = p.handler.Conns().State
+	go p.handler.Conns().Run(life)
 	go server.Serve(callers)
 	ready := program.NewServer(http.HandlerFunc(p.answerReady))
 	go ready.Serve(balancer)
@@ -110,7 +111,8 @@
 	protocol := platform.Headers{}
 	p.client = upstream.New(func(status int, h http.Header) string { return protocol.ReadReply(status, h).ID })
 	p.handler = serve.New(serve.Settings{
-		Zone: s.Zone,
+		Zone:     s.Zone,
+		MaxConns: s.maxConns(),
 		Retry: serve.RetrySettings{
 			Ratio:  s.RetryRatio,
 			Slack:  s.RetrySlack,
--- a/gateway/serve_settings.go
+++ b/gateway/serve_settings.go
@@ -29,6 +29,8 @@
 	Port int `json:"port"`
 	// MemoryMB bounds the memory of the process; zero is no bound.
 	MemoryMB int `json:"memory_mb,omitempty"`
+	// MaxOpenFiles bounds the files and connections of the process; zero is no bound.
+	MaxOpenFiles int `json:"max_open_files,omitempty"`
 	// GraceSeconds is the time from a signal to stop until the process is killed.
 	GraceSeconds float64 `json:"grace_seconds"`
 	// RevokeMillis is within which time a key that was taken away must not be
@@ -47,6 +49,7 @@
 const (
 	maxPort         = 65535
 	maxMemoryMB     = 1 << 20
+	maxOpenFiles    = 1 << 24
 	minRevokeMillis = 1000
 	maxRevokeMillis = 3_600_000
 )
@@ -68,6 +71,7 @@
 		settings.Addresses("seeds", s.Seeds),
 		settings.Between("port", s.Port, 1, maxPort),
 		settings.Between("memory_mb", s.MemoryMB, 0, maxMemoryMB),
+		settings.Between("max_open_files", s.MaxOpenFiles, 0, maxOpenFiles),
 		settings.Between("revoke_ms", s.RevokeMillis, minRevokeMillis, maxRevokeMillis),
 		s.Credential.Check(),
 	)
@@ -82,6 +86,14 @@
 	return out
 }
 
+// maxConns returns how many connections callers may hold.
+func (s *ServeSettings) maxConns() int {
+	if s.MaxOpenFiles == 0 {
+		return defaultConns
+	}
+	return int(callersPart * float64(s.MaxOpenFiles))
+}
+
 // proofLifetime is how long after a proof that the configuration is the newest
 // keys are served.
 func (s *ServeSettings) proofLifetime() time.Duration {
@@ -106,8 +118,12 @@
 	// drainLook is how often a draining gateway looks whether all is answered.
 	drainLook     = 50 * time.Millisecond
 	pruneInterval = time.Second
-	// idleTimeout is how long callers' connections may wait for a request.
-	idleTimeout = time.Minute
+	// callersPart is the part of the open files that callers' connections may be;
+	// the rest is for upstreams, controllers and what arrives meanwhile.
+	callersPart = 0.5
+	// defaultConns is how many connections callers may hold when the settings set no
+	// bound of open files.
+	defaultConns = 10_000
 	// memoryPart is the part of the process's memory that the runtime may use
 	// before it collects garbage harder.
 	memoryPart = 0.8
