serve: a flooded gateway asks less, rests, and sheds

Ruled out: forwarding of events (200 a second there; reading streams every 50 ms changed nothing). Changes: after a refusal for the share the gateway refuses the team on that route by itself for 40 ms and then asks about few, more as places are given; a gateway that uses half of its processor's share for a second is not ready for 4 to 30 s and leaves its connections, so that the balancer takes others; one that is behind by its own clock sheds.

--- a/fleet/dispatch/core.go
+++ b/fleet/dispatch/core.go
@@ -122,13 +122,16 @@
 
 func (c *Core) refuse(r Request, reason Reason) Decision {
 	first, last := float64(minRetryAfter), float64(maxRetryAfter)
+	quiet := time.Duration(0)
 	if reason == OverShare {
-		first, last = firstReturnPart*float64(r.Objective), lastReturnPart*float64(r.Objective)
+		first, last = FirstReturnPart*float64(r.Objective), LastReturnPart*float64(r.Objective)
+		quiet = quietTime
 	}
 	return Decision{
 		ID:         r.ID,
 		Reason:     reason,
 		RetryAfter: time.Duration(first + c.random.Float64()*(last-first)),
+		Quiet:      quiet,
 	}
 }
 
--- a/fleet/dispatch/request.go
+++ b/fleet/dispatch/request.go
@@ -76,6 +76,8 @@
 	RetryAfter time.Duration `cbor:"3,keyasint,omitempty"`
 	// Reason tells why a request is refused.
 	Reason Reason `cbor:"4,keyasint,omitempty"`
+	// Quiet is how long requests of the same team and class would be refused as well.
+	Quiet time.Duration `cbor:"7,keyasint,omitempty"`
 	// Wait is the estimated time until the upstream begins to answer.
 	Wait time.Duration `cbor:"5,keyasint,omitempty"`
 }
--- a/fleet/dispatch/settings.go
+++ b/fleet/dispatch/settings.go
@@ -48,10 +48,14 @@
 	// between them the time is drawn, so that refused callers don't return at once.
 	minRetryAfter = 400 * time.Millisecond
 	maxRetryAfter = 1600 * time.Millisecond
-	// firstReturnPart and lastReturnPart are the parts of its objective after which
+	// quietTime is how long a gateway refuses a team's further requests of a class by
+	// itself after one was refused for the share: a few decisions' worth for the
+	// teams that flood, hardly any for the others.
+	quietTime = 40 * time.Millisecond
+	// FirstReturnPart and LastReturnPart are the parts of its objective after which
 	// a caller over its share should come back: early enough to be on time.
-	firstReturnPart = 0.12
-	lastReturnPart  = 0.45
+	FirstReturnPart = 0.12
+	LastReturnPart  = 0.45
 	// keptPart is the part of an engine's memory that is taken to keep prefixes.
 	keptPart = 0.6
 	// firstSuspension and longestSuspension bound how long an upstream that
--- a/gateway/internal/serve/bench_test.go
+++ b/gateway/internal/serve/bench_test.go
@@ -8,6 +8,9 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
+
+	"baobabpaddle/fleet/dispatch"
 )
 
 // benchEvents is how many events a benchmarked stream has.
@@ -85,3 +88,26 @@
 		c.ask(b, "/book/")
 	}
 }
+
+// BenchmarkRefused refuses a team that floods, each request on a new connection.
+func BenchmarkRefused(b *testing.B) {
+	bed := newBed(b, hangUp)
+	bed.fleet.refuse = &dispatch.Decision{
+		Reason:     dispatch.OverShare,
+		RetryAfter: 100 * time.Millisecond,
+		Quiet:      time.Hour,
+	}
+	b.ReportAllocs()
+	for range b.N {
+		conn, err := net.Dial("tcp", bed.server.Listener.Addr().String())
+		if err != nil {
+			b.Fatal(err)
+		}
+		c := &benchCaller{
+			conn:   conn,
+			reader: bufio.NewReaderSize(conn, 512),
+		}
+		c.ask(b, "/draft/")
+		conn.Close()
+	}
+}
--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -30,6 +30,8 @@
 	// hintMargin times the caller's hint is rarely exceeded: hints are right at the
 	// median, and one in a hundred is three times too low.
 	hintMargin = 3
+	// shedRetry is when to come back, elsewhere, from a gateway that is behind.
+	shedRetry = 50 * time.Millisecond
 	// defaultBodyBytes bounds bodies while the configuration sets no bound.
 	defaultBodyBytes = 4 << 20
 )
@@ -51,11 +53,14 @@
 	log      *slog.Logger
 	budget   *retryBudget
 	conns    *Conns
+	load     *Load
 
 	next     atomic.Uint64
 	inFlight atomic.Int64
 	drainEnd atomic.Int64 // Unix nanoseconds; zero while not draining
 	pace     pace
+	lag      Lag
+	quiet    quiet
 
 	requests *telemetry.Histograms
 	first    *telemetry.Histograms
@@ -67,6 +72,9 @@
 	Retry RetrySettings
 	// MaxConns is how many connections callers may hold.
 	MaxConns int
+	// ProcessorShare is the part of a core that the process may use; zero is not
+	// known.
+	ProcessorShare float64
 }
 
 // New returns a handler.
@@ -82,9 +90,16 @@
 		first:    metrics.Histograms("gateway_first_byte_seconds"),
 	}
 	h.conns = NewConns(s.MaxConns, h.idleLimit)
+	h.load = NewLoad(s.ProcessorShare)
 	return h
 }
 
+// Load returns the measure of the processor time used.
+func (h *Handler) Load() *Load { return h.load }
+
+// Lag returns the measure of how far the process is behind.
+func (h *Handler) Lag() *Lag { return &h.lag }
+
 // Conns returns the callers' connections.
 func (h *Handler) Conns() *Conns { return h.conns }
 
@@ -141,7 +156,7 @@
 	arrived := time.Now()
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
-	if h.drainEnd.Load() != 0 {
+	if h.drainEnd.Load() != 0 || h.load.Resting() {
 		w.Header().Set("Connection", "close")
 	}
 	view := h.fleet.View()
@@ -149,6 +164,11 @@
 		h.refuse(w, http.StatusServiceUnavailable, problem.NotReady, "no configuration yet", notReadyRetry)
 		return
 	}
+	if h.lag.shed() {
+		w.Header().Set("Connection", "close")
+		h.refuse(w, http.StatusServiceUnavailable, problem.TooManyWaiting, "this gateway is short of processor time", shedRetry)
+		return
+	}
 	x := &exchange{
 		handler: h,
 		view:    view,
@@ -156,9 +176,14 @@
 		r:       r,
 		arrived: arrived,
 	}
-	if x.admit() && x.readBody() {
-		x.run()
+	if !x.admit() {
+		return
+	}
+	if !x.readBody() {
+		x.answered(0)
+		return
 	}
+	x.run()
 }
 
 // exchange is one caller's request on its way.
@@ -223,9 +248,37 @@
 		h.refuse(x.w, http.StatusServiceUnavailable, problem.Draining, "this gateway stops soon", drainRetry)
 		return false
 	}
+	if x.team != "" && !h.quiet.ask(x.quietKey(), x.arrived) {
+		h.refuse(x.w, http.StatusTooManyRequests, problem.TooManyWaiting, overShare, x.soon())
+		return false
+	}
 	return true
 }
 
+// overShare tells a caller why its team is refused.
+const overShare = "the team is over its share"
+
+func (x *exchange) quietKey() quietKey {
+	return quietKey{
+		team:  x.team,
+		route: x.route.Name,
+	}
+}
+
+// answered tells what became of the question whether the team has a place.
+func (x *exchange) answered(refusedFor time.Duration) {
+	if x.team != "" && len(x.tried) == 0 {
+		x.handler.quiet.answered(x.quietKey(), time.Now(), refusedFor)
+	}
+}
+
+// soon returns when a caller over its share should come back, so that it may still
+// be on time.
+func (x *exchange) soon() time.Duration {
+	part := dispatch.FirstReturnPart + rand.Float64()*(dispatch.LastReturnPart-dispatch.FirstReturnPart)
+	return time.Duration(part * float64(x.route.Objective()))
+}
+
 // readBody reads the whole body, or answers.
 func (x *exchange) readBody() bool {
 	if x.r.Body == nil || x.r.Body == http.NoBody || x.r.ContentLength == 0 {
--- /dev/null
+++ b/gateway/internal/serve/lag.go
@@ -0,0 +1,66 @@
+package serve
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+)
+
+// Figures of lag.
+const (
+	// lagInterval is how often the lag is measured.
+	lagInterval = 20 * time.Millisecond
+	// lagWeight is the weight of a new measurement in the mean.
+	lagWeight = 0.2
+	// lagFree is the lag up to which nothing is shed, and lagFull the one at which
+	// lagMost of the requests are.
+	lagFree = 20 * time.Millisecond
+	lagFull = 100 * time.Millisecond
+	lagMost = 0.9
+)
+
+// Lag measures by how much the process is behind: how late it runs what is due.
+// A gateway that has less processor time than its callers ask of it sheds some of
+// them, who come back to other gateways.
+type Lag struct {
+	mean atomic.Int64 // nanoseconds
+}
+
+// Run measures until the context ends.
+func (l *Lag) Run(ctx context.Context) {
+	timer := time.NewTimer(lagInterval)
+	defer timer.Stop()
+	due := time.Now().Add(lagInterval)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		now := time.Now()
+		l.saw(now.Sub(due))
+		due = now.Add(lagInterval)
+		timer.Reset(lagInterval)
+	}
+}
+
+func (l *Lag) saw(lag time.Duration) {
+	mean := time.Duration(l.mean.Load())
+	l.mean.Store(int64(mean + time.Duration(lagWeight*float64(lag-mean))))
+}
+
+// Mean returns the present lag.
+func (l *Lag) Mean() time.Duration { return time.Duration(l.mean.Load()) }
+
+// Share returns which share of the requests is to be shed.
+func (l *Lag) Share() float64 {
+	part := float64(l.Mean()-lagFree) / float64(lagFull-lagFree)
+	return lagMost * min(max(part, 0), 1)
+}
+
+// shed reports whether one request is to be shed.
+func (l *Lag) shed() bool {
+	share := l.Share()
+	return share > 0 && rand.Float64() < share
+}
--- /dev/null
+++ b/gateway/internal/serve/load.go
@@ -0,0 +1,108 @@
+package serve
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Figures of load.
+const (
+	// loadInterval is how often the processor time is read.
+	loadInterval = 200 * time.Millisecond
+	// loadWeight is the weight of a new reading in the mean, which thus spans about
+	// a second.
+	loadWeight = 0.25
+	// loadFull is the part of the processor's share from which a gateway counts as
+	// overloaded: the process does not see all that is charged to its host.
+	loadFull = 0.5
+	// firstRest and longestRest bound how long an overloaded gateway takes no new
+	// connections; each time within restMemory of the last one doubles the time.
+	firstRest   = 4 * time.Second
+	longestRest = 30 * time.Second
+	restMemory  = 20 * time.Second
+)
+
+// Load tells when a gateway has more callers than its processor's share can serve.
+// The platform's balancer spreads callers by a hash, so that one gateway may get
+// most of a zone's requests; while that one is not ready the others get them.
+type Load struct {
+	share float64 // of a core; zero is not known
+
+	mean    float64
+	rest    time.Duration
+	until   time.Time
+	resting atomic.Bool
+}
+
+// NewLoad returns the load of a process that may use a share of a core; zero is
+// not known, and no load is ever too much.
+func NewLoad(share float64) *Load {
+	return &Load{
+		share: share,
+	}
+}
+
+// Resting reports whether callers should go elsewhere for now.
+func (l *Load) Resting() bool { return l.resting.Load() }
+
+// Run watches the process until the context ends.
+func (l *Load) Run(ctx context.Context, log *slog.Logger) {
+	if l.share <= 0 {
+		return
+	}
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	last, used := time.Now(), processorTime()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			total := processorTime()
+			was := l.Resting()
+			l.step(now, now.Sub(last), total-used)
+			last, used = now, total
+			if l.Resting() != was {
+				log.Info("load", "takes_callers", was, "processor_part", l.mean, "rest_until", l.until)
+			}
+		}
+	}
+}
+
+// step takes how much processor time was used within a span that ends now.
+func (l *Load) step(now time.Time, span, used time.Duration) {
+	if span <= 0 {
+		return
+	}
+	part := used.Seconds() / span.Seconds() / l.share
+	l.mean += loadWeight * (part - l.mean)
+	if l.Resting() {
+		if now.After(l.until) {
+			l.resting.Store(false)
+			l.mean = 0
+		}
+		return
+	}
+	if l.mean < loadFull {
+		return
+	}
+	if now.Sub(l.until) > restMemory {
+		l.rest = firstRest
+	} else {
+		l.rest = min(2*l.rest, longestRest)
+	}
+	l.until = now.Add(l.rest)
+	l.resting.Store(true)
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0 // no load is seen then, and the gateway stays ready
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -43,6 +43,7 @@
 	var result outcome
 	for {
 		d := h.fleet.Place(x.r.Context(), x.ask())
+		x.answered(d.Quiet)
 		if d.Upstream == "" {
 			x.unplaced(d, mayHaveRun)
 			return
@@ -100,7 +101,7 @@
 	retry := d.RetryAfter
 	switch d.Reason {
 	case dispatch.OverShare:
-		x.handler.refuse(x.w, http.StatusTooManyRequests, problem.TooManyWaiting, "the team is over its share", retry)
+		x.handler.refuse(x.w, http.StatusTooManyRequests, problem.TooManyWaiting, overShare, retry)
 	case dispatch.NoUpstream:
 		x.handler.refuse(x.w, http.StatusServiceUnavailable, problem.NoUpstream, "no upstream takes requests", retry)
 	default:
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -79,6 +79,8 @@
 	server := program.NewServer(p.handler)
 	server.ConnState = p.handler.Conns().State
 	go p.handler.Conns().Run(life)
+	go p.handler.Lag().Run(life)
+	go p.handler.Load().Run(life, log)
 	go server.Serve(callers)
 	ready := program.NewServer(http.HandlerFunc(p.answerReady))
 	go ready.Serve(balancer)
@@ -118,6 +120,8 @@
 	p.handler = serve.New(serve.Settings{
 		Zone:     s.Zone,
 		MaxConns: s.maxConns(),
+
+		ProcessorShare: s.ProcessorShare,
 		Retry: serve.RetrySettings{
 			Ratio:  s.RetryRatio,
 			Slack:  s.RetrySlack,
@@ -144,6 +148,9 @@
 	if p.draining.Load() {
 		return merry.New("draining")
 	}
+	if p.handler.Load().Resting() {
+		return merry.New("more callers than the processor can serve")
+	}
 	if !p.link.View().Ready() {
 		return merry.New("no configuration that is known to be recent, or no upstreams")
 	}
--- a/gateway/serve_settings.go
+++ b/gateway/serve_settings.go
@@ -31,6 +31,9 @@
 	MemoryMB int `json:"memory_mb,omitempty"`
 	// MaxOpenFiles bounds the files and connections of the process; zero is no bound.
 	MaxOpenFiles int `json:"max_open_files,omitempty"`
+	// ProcessorShare is the part of a core that the process may use; zero is not
+	// known.
+	ProcessorShare float64 `json:"processor_share,omitempty"`
 	// GraceSeconds is the time from a signal to stop until the process is killed.
 	GraceSeconds float64 `json:"grace_seconds"`
 	// RevokeMillis is within which time a key that was taken away must not be
@@ -59,6 +62,9 @@
 	if s.GraceSeconds <= 0 {
 		return merry.New("grace_seconds: must be over zero")
 	}
+	if s.ProcessorShare < 0 {
+		return merry.New("processor_share: must not be negative")
+	}
 	if s.RetryRatio < 0 || s.RetrySlack < 0 || s.RetryWindowSeconds <= 0 {
 		return merry.New("retry_ratio: retry_ratio and retry_slack must not be negative, retry_window_seconds must be over zero")
 	}
