disk: cut off a last record whose sectors are missing in its middle

A loss of power may keep any part of what was written after the last sync. A record whose first sector was lost while later ones were kept was taken for damage of synced data, and the replica refused to start. A damaged record is now cut off if no whole record follows it; damage before a whole record is refused as before (TestStoreRefusesDamage unchanged).

--- a/fleet/disk/doc.go
+++ b/fleet/disk/doc.go
@@ -3,6 +3,7 @@
 //
 // Every file is made of checksummed records. A record is written and synced
 // before anything in it is acknowledged. Whole files are replaced by rename,
-// followed by a sync of the folder. A torn tail of the log is cut when it is
-// opened; damage anywhere before it is refused with ErrDamaged.
+// followed by a sync of the folder. A last record that did not reach
+// the disk whole is cut off when the log is opened; damage that a whole record
+// follows is refused with ErrDamaged.
 package disk
--- a/fleet/disk/record.go
+++ b/fleet/disk/record.go
@@ -40,7 +40,7 @@
 	if len(data) < headerBytes {
 		return nil, 0, errTorn
 	}
-	if crc32.Checksum(data[:8], castagnoli) != binary.LittleEndian.Uint32(data[8:]) {
+	if !wholeHeader(data) {
 		if allZero(data) {
 			return nil, 0, errTorn
 		}
@@ -64,6 +64,24 @@
 	return payload, end, nil
 }
 
+// holdsRecord reports whether a whole record begins anywhere in data.
+func holdsRecord(data []byte) bool {
+	for ; len(data) >= headerBytes; data = data[1:] {
+		if !wholeHeader(data) {
+			continue
+		}
+		if _, _, err := nextRecord(data); err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// wholeHeader reports whether the header at the start of data is undamaged.
+func wholeHeader(data []byte) bool {
+	return crc32.Checksum(data[:8], castagnoli) == binary.LittleEndian.Uint32(data[8:])
+}
+
 func allZero(data []byte) bool {
 	for _, b := range data {
 		if b != 0 {
--- a/fleet/disk/store.go
+++ b/fleet/disk/store.go
@@ -191,6 +191,11 @@
 		if errors.Is(err, errTorn) {
 			break
 		}
+		// Each record is synced before the next one is written, so only the last can
+		// have parts that never reached the disk.
+		if err != nil && !holdsRecord(data[good+1:]) {
+			break
+		}
 		if err != nil {
 			return 0, merry.Prependf(err, "log at byte %d", good)
 		}
--- a/fleet/disk/store_test.go
+++ b/fleet/disk/store_test.go
@@ -80,6 +80,28 @@
 	}
 }
 
+// TestStoreCutsRaggedTail loses parts of the last record, as a loss of power does
+// before the record is synced: any of its sectors may be missing while later ones
+// are there. What was synced before stays.
+func TestStoreCutsRaggedTail(t *testing.T) {
+	is := is.New(t)
+	folder, sizes := filled(t)
+	path := filepath.Join(folder, logFile)
+	whole, err := os.ReadFile(path)
+	is.NoErr(err)
+	last := sizes[len(sizes)-2]
+	for from := last; from < int64(len(whole)); from++ {
+		for to := from + 1; to <= int64(len(whole)); to++ {
+			ragged := append([]byte(nil), whole...)
+			clear(ragged[from:to])
+			is.NoErr(os.WriteFile(path, ragged, fileMode))
+			restored, err := reopen(folder)
+			is.NoErr(err)
+			is.True(len(restored.Entries) >= len(sizes)-1)
+		}
+	}
+}
+
 // TestStoreRefusesDamage flips every byte of the log: damage before the last
 // record is refused, and never read as something else.
 func TestStoreRefusesDamage(t *testing.T) {
