--- /dev/null
+++ b/bench/pages/logs_test.go
@@ -0,0 +1,70 @@
+package pages
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// served are the folders whose lines the page lists.
+var served = []string{
+	"gateway/serve.go", "gateway/internal/serve", "gateway/internal/controller",
+	"controller/serve.go", "controller/internal/gateway", "controller/internal/peer",
+	"controller/internal/replica", "controller/internal/operator/configuration.go",
+	"fleet/trace", "fleet/telemetry/writer.go",
+}
+
+// TestLogLines compares the messages in the code with docs/LOGS.md, both ways.
+func TestLogLines(t *testing.T) {
+	page := read(t, "docs", "LOGS.md")
+	message := regexp.MustCompile(`(?:log\.(?:Info|Warn|Error)\(|logged\(|Msg[A-Za-z]+ += )"([^"]+)"|\\"msg\\":\\"([^"\\]+)|"msg":"([^"]+)"`)
+	var code []string
+	for _, place := range served {
+		for _, file := range goFiles(t, place) {
+			for _, m := range message.FindAllStringSubmatch(file, -1) {
+				code = append(code, strings.Join(m[1:], ""))
+			}
+		}
+	}
+	slices.Sort(code)
+	for _, m := range slices.Compact(code) {
+		if !strings.Contains(page, "`"+m+"`") {
+			t.Errorf("message %q stands in the code and not in docs/LOGS.md", m)
+		}
+	}
+	for _, cell := range regexp.MustCompile("(?m)^\\| (`[a-z][^|]*`) \\|").FindAllStringSubmatch(page, -1) {
+		for _, m := range regexp.MustCompile("`([^`]+ [^`]+)`").FindAllStringSubmatch(cell[1], -1) {
+			if !slices.Contains(code, m[1]) {
+				t.Errorf("message %q stands in docs/LOGS.md and not in the code", m[1])
+			}
+		}
+	}
+}
+
+// goFiles returns the text of a file, or of a folder's files without tests.
+func goFiles(t *testing.T, place string) []string {
+	t.Helper()
+	path := filepath.Join("..", "..", filepath.FromSlash(place))
+	names := []string{path}
+	if !strings.HasSuffix(place, ".go") {
+		var err error
+		if names, err = filepath.Glob(filepath.Join(path, "*.go")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var out []string
+	for _, name := range names {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, string(text))
+	}
+	return out
+}
--- a/bench/pages/pages_test.go
+++ b/bench/pages/pages_test.go
@@ -111,7 +111,7 @@
 }
 
 func TestMetrics(t *testing.T) {
-	code := all("(?:Gauge|Histograms|Counter)\\([\"`]([a-z_]+)", sources(t, "controller", "gateway", "sidecar"))
+	code := all("(?:Gauge|Histograms|Counter)\\([\"`]([a-z_]+)", sources(t, "controller", "gateway", "sidecar", "fleet/telemetry"))
 	page := section(t, read(t, "docs", "OPERATIONS.md"), "## Metrics and alarms")
 	same(t, "metric", all(firstColumn, page), code)
 }
--- a/controller/internal/gateway/hub.go
+++ b/controller/internal/gateway/hub.go
@@ -15,6 +15,7 @@
 	"baobabpaddle/fleet/dispatch"
 	"baobabpaddle/fleet/link"
 	"baobabpaddle/fleet/state"
+	"baobabpaddle/fleet/telemetry"
 	"baobabpaddle/fleet/wire"
 )
 
@@ -78,16 +79,18 @@
 	document  state.Replace
 	upstreams []dispatch.Upstream
 	replies   map[*conn][]dispatch.Decision
+	measures  *measures
 }
 
 // New returns a hub without links.
-func New(replicas Replicas, directory Directory, log *slog.Logger) *Hub {
+func New(replicas Replicas, directory Directory, metrics *telemetry.Metrics, log *slog.Logger) *Hub {
 	h := &Hub{
 		replicas:  replicas,
 		directory: directory,
 		log:       log,
 		events:    make(chan event, eventQueue),
 		pings:     make(chan ping, eventQueue),
+		measures:  newMeasures(metrics),
 	}
 	h.reset()
 	return h
@@ -119,7 +122,8 @@
 		case e := <-h.events:
 			h.handle(e)
 			h.drain()
-		case <-ticker.C:
+		case now := <-ticker.C:
+			h.note(now)
 			if len(h.conns) > 0 && !h.replicas.IsLeader() {
 				h.log.Info("no longer leading, gateways are sent away", "gateways", len(h.conns))
 				h.closeAll()
@@ -258,6 +262,7 @@
 	if h.upstreams != nil && slices.Equal(list, h.upstreams) {
 		return
 	}
+	h.log.Info("list of upstreams changed", "upstreams", len(list), "before", len(h.upstreams))
 	h.upstreams = list
 	h.core.SetUpstreams(list)
 	for _, c := range h.conns {
--- /dev/null
+++ b/controller/internal/gateway/measure.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"time"
+
+	"baobabpaddle/fleet/dispatch"
+	"baobabpaddle/fleet/telemetry"
+	"baobabpaddle/fleet/trace"
+)
+
+// measureInterval is how often the figures of the placing core are taken.
+const measureInterval = time.Second
+
+// figures are what the placing core knew when it was last measured.
+type figures struct {
+	totals map[string]dispatch.Total
+	share  float64
+	teams  int
+}
+
+// measures publishes the core's figures. Services get gauges as they are seen;
+// their number is that of the configuration.
+type measures struct {
+	metrics *telemetry.Metrics
+	latest  atomic.Pointer[figures]
+	seen    map[string]bool
+	next    time.Time
+}
+
+func newMeasures(m *telemetry.Metrics) *measures {
+	s := &measures{
+		metrics: m,
+		seen:    make(map[string]bool),
+	}
+	s.latest.Store(&figures{})
+	m.Gauge("controller_team_share_tokens", func() float64 { return s.latest.Load().share })
+	m.Gauge("controller_teams_counted", func() float64 { return float64(s.latest.Load().teams) })
+	return s
+}
+
+// take measures the core if it is time.
+func (s *measures) take(now time.Time, core *dispatch.Core) {
+	if now.Before(s.next) {
+		return
+	}
+	s.next = now.Add(measureInterval)
+	f := &figures{
+		totals: make(map[string]dispatch.Total),
+	}
+	for _, t := range core.Totals(now) {
+		f.totals[t.Service] = t
+		s.register(t.Service)
+	}
+	f.share, f.teams = core.Share()
+	s.latest.Store(f)
+}
+
+// register adds the gauges of a service.
+func (s *measures) register(service string) {
+	if s.seen[service] {
+		return
+	}
+	s.seen[service] = true
+	label := `{service="` + service + `"}`
+	of := func(value func(dispatch.Total) float64) func() float64 {
+		return func() float64 { return value(s.latest.Load().totals[service]) }
+	}
+	s.metrics.Gauge(`controller_upstreams_listed`+label, of(func(t dispatch.Total) float64 { return float64(t.Listed) }))
+	s.metrics.Gauge(`controller_upstreams_usable`+label, of(func(t dispatch.Total) float64 { return float64(t.Usable) }))
+	s.metrics.Gauge(`controller_upstream_slots`+label, of(func(t dispatch.Total) float64 { return float64(t.Slots) }))
+	s.metrics.Gauge(`controller_upstream_running`+label, of(func(t dispatch.Total) float64 { return float64(t.Running) }))
+	s.metrics.Gauge(`controller_upstream_unread_tokens`+label, of(func(t dispatch.Total) float64 { return float64(t.Unread) }))
+}
+
+// note logs and measures what the core has learned.
+func (h *Hub) note(now time.Time) {
+	trace.Upstreams(h.log, now, h.core.Changes())
+	h.measures.take(now, h.core)
+}
--- a/controller/internal/operator/configuration.go
+++ b/controller/internal/operator/configuration.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -41,24 +42,26 @@
 	execute   Executor
 	directory Directory
 	tolerated int
+	log       *slog.Logger
 }
 
 // NewConfigurations returns the calls. Nothing is accepted before there are
 // enough voters to lose the tolerated number of hosts.
-func NewConfigurations(replicas Replicas, execute Executor, directory Directory, tolerated int) *Configurations {
+func NewConfigurations(replicas Replicas, execute Executor, directory Directory, tolerated int, log *slog.Logger) *Configurations {
 	return &Configurations{
 		replicas:  replicas,
 		execute:   execute,
 		directory: directory,
 		tolerated: tolerated,
+		log:       log,
 	}
 }
 
 // Handler returns the routes.
 func (c *Configurations) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("PUT /v1/configuration", c.put)
-	mux.HandleFunc("GET /v1/configuration", c.get)
+	mux.HandleFunc("PUT /v1/configuration", c.logged("configuration change answered", c.put))
+	mux.HandleFunc("GET /v1/configuration", c.logged("configuration read answered", c.get))
 	return mux
 }
 
@@ -84,7 +87,7 @@
 	unavailable(w, "no controller with a replica is known")
 }
 
-func (c *Configurations) put(w http.ResponseWriter, r *http.Request) {
+func (c *Configurations) put(w *answer, r *http.Request) {
 	replica := c.replicas.Replica()
 	if replica == nil {
 		c.elsewhere(w, r)
@@ -105,6 +108,7 @@
 		problem.New(http.StatusBadRequest, problem.InvalidResource, err.Error()).Write(w)
 		return
 	}
+	w.version = parsed.Version
 	if !c.enoughVoters(replica) {
 		unavailable(w, "the controllers are still gathering")
 		return
@@ -140,7 +144,7 @@
 	return committed.Voters() >= min(2*c.tolerated+1, c.directory.DiskControllers())
 }
 
-func (c *Configurations) get(w http.ResponseWriter, r *http.Request) {
+func (c *Configurations) get(w *answer, r *http.Request) {
 	replica := c.replicas.Replica()
 	if replica == nil {
 		c.elsewhere(w, r)
@@ -156,7 +160,51 @@
 		unavailable(w, "there is no configuration yet")
 		return
 	}
+	w.version = newest.Version
 	w.Header().Set("Content-Type", "application/json")
 	// The operator may be gone; there is nobody left to tell.
 	_, _ = w.Write(newest.Document)
 }
+
+// answer is an operator's answer with what its log line tells.
+type answer struct {
+	http.ResponseWriter
+	status  int
+	version uint64
+	body    []byte // the beginning of an error's body
+}
+
+// maxErrorBytes is how much of an error's body is logged.
+const maxErrorBytes = 400
+
+// WriteHeader implements http.ResponseWriter.
+func (a *answer) WriteHeader(status int) {
+	a.status = status
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (a *answer) Write(data []byte) (int, error) {
+	if a.status >= http.StatusBadRequest {
+		a.body = append(a.body, data[:min(len(data), maxErrorBytes-len(a.body))]...)
+	}
+	return a.ResponseWriter.Write(data)
+}
+
+// logged returns a handler that logs each answer.
+func (c *Configurations) logged(message string, handle func(*answer, *http.Request)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		started := time.Now()
+		a := &answer{
+			ResponseWriter: w,
+			status:         http.StatusOK,
+		}
+		handle(a, r)
+		level := slog.LevelInfo
+		if a.status >= http.StatusBadRequest {
+			level = slog.LevelWarn
+		}
+		c.log.Log(r.Context(), level, message, "version", a.version, "status", a.status,
+			"took_ms", time.Since(started).Milliseconds(), "from", r.RemoteAddr, "problem", string(a.body))
+	}
+}
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -50,10 +51,14 @@
 	forward  *forward.Forwarder
 	metrics  *telemetry.Metrics
 	stats    *link.Stats
+	// listRead is when the platform's list was last read, in Unix nanoseconds.
+	listRead atomic.Int64
 }
 
 func serve(ctx context.Context, s ServeSettings, changes <-chan ServeSettings) error {
-	log := telemetry.NewLogger(os.Stdout, "controller "+s.Name)
+	out := telemetry.NewWriter(os.Stdout)
+	defer out.Close()
+	log := telemetry.NewLogger(out, "controller "+s.Name)
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryMB) * (1 << 20)))
 	}
@@ -76,10 +81,14 @@
 	if err := program.Admin(ctx, s.AdminListen, p.metrics, p.ready); err != nil {
 		return err
 	}
+	if err := program.Metrics(ctx, s.MetricsListen, p.metrics); err != nil {
+		return err
+	}
+	p.metrics.CountLog(out)
 	dialer := p.dialer(proof)
 	fleet := program.NewServer(p.handler(ctx, proof, dialer))
 	go fleet.Serve(listener)
-	api := operator.NewConfigurations(p.member, p.forward, p.peers, s.ToleratedHosts)
+	api := operator.NewConfigurations(p.member, p.forward, p.peers, s.ToleratedHosts, p.log)
 	outer := program.NewServer(api.Handler())
 	go outer.Serve(operators)
 	go p.peers.Run(ctx)
@@ -132,8 +141,9 @@
 		},
 		MaxLogBytes: serveMaxLogBytes,
 	}, p.peers, p.dialer(proof), log)
-	p.hub = gateway.New(p.member, p.peers, log)
+	p.hub = gateway.New(p.member, p.peers, p.metrics, log)
 	p.forward = forward.New(p.member, proof)
+	p.registerMetrics()
 	return p
 }
 
@@ -163,6 +173,7 @@
 		if p.member.IsLeader() {
 			upstreams, err := list.Upstreams(ctx)
 			if err == nil {
+				p.listRead.Store(time.Now().UnixNano())
 				p.hub.SetUpstreams(ctx, upstreams)
 			}
 			if failed != (err != nil) {
--- /dev/null
+++ b/controller/serve_metrics.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"time"
+
+	"baobabpaddle/controller/internal/replica"
+	"baobabpaddle/fleet/state"
+)
+
+// registerMetrics registers the figures of a controller that serves.
+func (p *serving) registerMetrics() {
+	m := p.metrics
+	m.Gauge("controller_is_leader", func() float64 {
+		if p.member.IsLeader() {
+			return 1
+		}
+		return 0
+	})
+	m.Gauge("controller_term", p.ofReplica(func(r *replica.Replica) float64 { return float64(r.Status().Term) }))
+	m.Gauge("controller_commit_index", p.ofReplica(func(r *replica.Replica) float64 { return float64(r.Status().Commit) }))
+	m.Gauge("controller_log_bytes", p.ofReplica(func(r *replica.Replica) float64 { return float64(r.Status().LogBytes) }))
+	m.Gauge("controller_configuration_version", p.ofReplica(func(r *replica.Replica) float64 {
+		var version uint64
+		r.View(func(s *state.State) { version = s.Configuration.Version })
+		return float64(version)
+	}))
+	m.Gauge("controller_gateways_linked", func() float64 { return float64(p.hub.Gateways()) })
+	m.Gauge("controller_list_age_seconds", func() float64 {
+		if read := p.listRead.Load(); read > 0 {
+			return time.Since(time.Unix(0, read)).Seconds()
+		}
+		return -1
+	})
+	m.Gauge("link_bytes_in", func() float64 { return float64(p.stats.BytesIn.Load()) })
+	m.Gauge("link_bytes_out", func() float64 { return float64(p.stats.BytesOut.Load()) })
+}
+
+// ofReplica returns the figure of the own replica; zero without one.
+func (p *serving) ofReplica(value func(*replica.Replica) float64) func() float64 {
+	return func() float64 {
+		if r := p.member.Replica(); r != nil {
+			return value(r)
+		}
+		return 0
+	}
+}
--- a/controller/serve_settings.go
+++ b/controller/serve_settings.go
@@ -25,6 +25,9 @@
 	OperatorListen string `json:"operator_listen"`
 	// AdminListen is the loopback address for metrics and health; empty means none.
 	AdminListen string `json:"admin_listen,omitempty"`
+	// MetricsListen is the address where metrics are read from other hosts; empty
+	// means none.
+	MetricsListen string `json:"metrics_listen,omitempty"`
 	// DataFolder holds everything that must survive; empty on hosts without a disk.
 	DataFolder string `json:"data_folder,omitempty"`
 	// Seeds are addresses for operators of some controllers.
@@ -58,6 +61,7 @@
 		settings.Between("port", s.Port, 1, maxPort),
 		settings.Address("operator_listen", s.OperatorListen),
 		settings.OptionalLoopback("admin_listen", s.AdminListen),
+		settings.OptionalAddress("metrics_listen", s.MetricsListen),
 		settings.Addresses("seeds", s.Seeds),
 		settings.Between("tolerated_hosts", s.ToleratedHosts, 0, maxToleratedHosts),
 		settings.Between("memory_mb", s.MemoryMB, 0, maxMemoryMB),
--- a/fleet/dispatch/core.go
+++ b/fleet/dispatch/core.go
@@ -8,14 +8,6 @@
 	"baobabpaddle/fleet/configuration"
 )
 
-// placed is a request that is at an upstream.
-type placed struct {
-	engine  *engine
-	unread  float64
-	reading bool
-	prompt  Prompt
-}
-
 // Core decides where requests go. It is not safe for use by several goroutines.
 type Core struct {
 	settings Settings
@@ -26,6 +18,7 @@
 	placed   map[Key]*placed
 	shares   *shares
 	classes  map[string]*class
+	changes  []Change
 }
 
 // New returns a core without a configuration or upstreams. The random source
@@ -120,7 +113,7 @@
 	return c.placePlain(now, gateway, r)
 }
 
-func (c *Core) refuse(r Request, reason Reason) Decision {
+func (c *Core) refuse(r Request, reason Reason, in Inputs) Decision {
 	first, last := float64(minRetryAfter), float64(maxRetryAfter)
 	quiet := time.Duration(0)
 	if reason == OverShare {
@@ -132,6 +125,7 @@
 		Reason:     reason,
 		RetryAfter: time.Duration(first + c.random.Float64()*(last-first)),
 		Quiet:      quiet,
+		Inputs:     in,
 	}
 }
 
@@ -139,22 +133,24 @@
 func cost(p Prompt) float64 { return float64(p.Tokens) + 2*p.Output() }
 
 func (c *Core) placeModel(now time.Time, gateway string, r Request) Decision {
-	best, unread := c.bestEngine(now, r)
+	best, unread, usable := c.bestEngine(now, r)
 	over := c.ask(now, r)
+	in := c.inputs(r, best, usable)
 	if best == nil {
-		return c.refuse(r, NoUpstream)
+		return c.refuse(r, NoUpstream, in)
 	}
-	ahead, own := reading(c.whole(best.unread)), reading(unread)
+	ahead := reading(c.whole(best.unread))
+	in.Ahead, in.Own = ahead, reading(unread)
 	kind := c.class(r.Class)
 	size := reading(kind.see(now, float64(r.Prompt.Tokens), unread))
 	objective := float64(r.Objective)
 	if !r.Resumed {
 		if over && ahead+size > time.Duration(idlePart*objective*c.shares.lenience(c.shares.team(r.Team))) {
 			c.shares.team(r.Team).refused = c.shares.slot(now)
-			return c.refuse(r, OverShare)
+			return c.refuse(r, OverShare, in)
 		}
 		if ahead > max(time.Duration(objectivePart*objective)-size, time.Duration(longPart*objective)) {
-			return c.refuse(r, Busy)
+			return c.refuse(r, Busy, in)
 		}
 	}
 	kind.admit(float64(r.Prompt.Tokens))
@@ -168,10 +164,26 @@
 	return Decision{
 		ID:       r.ID,
 		Upstream: best.ID,
-		Wait:     ahead + own,
+		Inputs:   in,
 	}
 }
 
+// inputs returns what is known of a request as it is decided on.
+func (c *Core) inputs(r Request, best *engine, usable int) Inputs {
+	in := Inputs{
+		Usable:    usable,
+		Objective: r.Objective,
+	}
+	if best != nil {
+		in.Running = int(c.whole(float64(best.running)))
+	}
+	if r.Team != "" && c.shares.level > 0 {
+		in.Received = int64(c.shares.team(r.Team).admitted.total)
+		in.Share = int64(min(c.shares.level, maxShare))
+	}
+	return in
+}
+
 // ask counts what a team asks for and reports whether it is over its share.
 func (c *Core) ask(now time.Time, r Request) bool {
 	if r.Team == "" || c.table == nil {
@@ -212,15 +224,17 @@
 // knows of: others are taken to do as it does itself.
 func (c *Core) whole(part float64) float64 { return part / c.settings.Portion }
 
-// bestEngine returns the engine that costs a request least, and the tokens that
-// it would have to read.
-func (c *Core) bestEngine(now time.Time, r Request) (*engine, float64) {
+// bestEngine returns the engine that costs a request least, the tokens that it
+// would have to read, and how many could have been chosen.
+func (c *Core) bestEngine(now time.Time, r Request) (*engine, float64, int) {
+	usable := 0
 	var best *engine
 	var bestCost, bestUnread float64
 	for _, e := range c.services[r.Service] {
 		if !e.usable(now, r.Repeatable) || slices.Contains(r.Tried, e.ID) {
 			continue
 		}
+		usable++
 		unread, shared := e.kept.unreadTokens(r.Prompt)
 		running := c.whole(float64(e.running))
 		total := c.whole(e.unread) + unread + runningCost*running + rereadCost*shared
@@ -236,16 +250,18 @@
 			bestUnread = unread
 		}
 	}
-	return best, bestUnread
+	return best, bestUnread, usable
 }
 
 func (c *Core) placePlain(now time.Time, gateway string, r Request) Decision {
+	usable := 0
 	var best *engine
 	var bestLoad float64
 	for _, e := range c.services[r.Service] {
 		if !e.usable(now, r.Repeatable) || slices.Contains(r.Tried, e.ID) {
 			continue
 		}
+		usable++
 		load := c.whole(float64(e.running))
 		if e.Zone != r.Zone {
 			load += plainZoneCost
@@ -255,11 +271,12 @@
 			bestLoad = load
 		}
 	}
+	in := c.inputs(r, best, usable)
 	if best == nil {
-		return c.refuse(r, NoUpstream)
+		return c.refuse(r, NoUpstream, in)
 	}
 	if best.Slots > 0 && c.whole(float64(best.running)) >= float64(best.Slots)*(1+queuePerSlot) {
-		return c.refuse(r, Busy)
+		return c.refuse(r, Busy, in)
 	}
 	c.place(Key{
 		Gateway: gateway,
@@ -268,136 +285,6 @@
 	return Decision{
 		ID:       r.ID,
 		Upstream: best.ID,
+		Inputs:   in,
 	}
 }
-
-// place notes that a request goes to an upstream.
-func (c *Core) place(key Key, e *engine, prompt Prompt, unread float64) {
-	c.end(key)
-	e.unread += unread
-	e.running++
-	if !e.suspendedUntil.IsZero() {
-		e.probing = true
-	}
-	e.kept.use(prompt)
-	c.placed[key] = &placed{
-		engine:  e,
-		unread:  unread,
-		reading: unread > 0,
-		prompt:  prompt,
-	}
-}
-
-// Sent takes a placement that a gateway decided on by itself, or tells again
-// when it links to a new leader.
-func (c *Core) Sent(gateway string, id uint64, upstream string, prompt Prompt, begun bool) {
-	e := c.engines[upstream]
-	if e == nil {
-		return
-	}
-	unread := 0.0
-	if !begun && prompt.Tokens > 0 {
-		unread, _ = e.kept.unreadTokens(prompt)
-	}
-	c.place(Key{
-		Gateway: gateway,
-		ID:      id,
-	}, e, prompt, unread)
-}
-
-// Begun takes that the upstream has begun to answer.
-func (c *Core) Begun(now time.Time, key Key) {
-	p := c.placed[key]
-	if p == nil || !p.reading {
-		return
-	}
-	p.reading = false
-	p.engine.unread = max(0, p.engine.unread-p.unread)
-	c.worked(p.engine)
-	_ = now
-}
-
-// worked notes that an upstream has answered.
-func (c *Core) worked(e *engine) {
-	e.failures = 0
-	e.suspendedUntil = time.Time{}
-	e.probing = false
-}
-
-func (c *Core) end(key Key) *placed {
-	p := c.placed[key]
-	if p == nil {
-		return nil
-	}
-	delete(c.placed, key)
-	if p.reading {
-		p.engine.unread = max(0, p.engine.unread-p.unread)
-	}
-	p.engine.running--
-	return p
-}
-
-// Ended takes how an upstream's work on a request ended.
-func (c *Core) Ended(now time.Time, key Key, ending Ending) {
-	p := c.end(key)
-	if p == nil {
-		return
-	}
-	e := p.engine
-	switch ending {
-	case Answered:
-		c.worked(e)
-	case CallerLeft:
-		e.probing = false
-	case Unreachable, Gone:
-		c.suspend(now, e)
-	case NotRun, Broken, Failed, Silent:
-		e.failures++
-		if e.failures >= failuresToSuspend || e.probing {
-			c.suspend(now, e)
-		}
-	}
-}
-
-// suspend keeps requests from an upstream for a while.
-func (c *Core) suspend(now time.Time, e *engine) {
-	e.probing = false
-	e.failures = max(e.failures, failuresToSuspend)
-	span := min(firstSuspension<<min(e.failures-failuresToSuspend, 8), longestSuspension)
-	e.failures++
-	if until := now.Add(span); until.After(e.suspendedUntil) {
-		e.suspendedUntil = until
-	}
-}
-
-// LoseGateway forgets the requests of a gateway that is gone.
-func (c *Core) LoseGateway(gateway string) {
-	for key := range c.placed {
-		if key.Gateway == gateway {
-			c.end(key)
-		}
-	}
-}
-
-// Placement is a request that is at an upstream.
-type Placement struct {
-	Key
-	Upstream string
-	Prompt   Prompt
-	// Begun tells that the answer has begun.
-	Begun bool
-}
-
-// Placements returns all requests that are at upstreams, in no order.
-func (c *Core) Placements() []Placement {
-	out := make([]Placement, 0, len(c.placed))
-	for key, p := range c.placed {
-		out = append(out, Placement{
-			Key:      key,
-			Upstream: p.engine.ID,
-			Prompt:   p.prompt,
-			Begun:    !p.reading,
-		})
-	}
-	return out
-}
--- a/fleet/dispatch/pattern_test.go
+++ b/fleet/dispatch/pattern_test.go
@@ -165,5 +165,5 @@
 	huge.spread = 0
 	d := w.core.Place(w.now, gateway, w.request("t", huge))
 	is.True(d.Upstream != "")
-	is.True(d.Wait > huge.objective)
+	is.True(d.Inputs.Ahead+d.Inputs.Own > huge.objective)
 }
--- /dev/null
+++ b/fleet/dispatch/placed.go
@@ -0,0 +1,217 @@
+package dispatch
+
+import "time"
+
+// placed is a request that is at an upstream.
+type placed struct {
+	engine  *engine
+	unread  float64
+	reading bool
+	prompt  Prompt
+}
+
+// place notes that a request goes to an upstream.
+func (c *Core) place(key Key, e *engine, prompt Prompt, unread float64) {
+	c.end(key)
+	e.unread += unread
+	e.running++
+	if !e.suspendedUntil.IsZero() {
+		e.probing = true
+	}
+	e.kept.use(prompt)
+	c.placed[key] = &placed{
+		engine:  e,
+		unread:  unread,
+		reading: unread > 0,
+		prompt:  prompt,
+	}
+}
+
+// Sent takes a placement that a gateway decided on by itself, or tells again
+// when it links to a new leader.
+func (c *Core) Sent(gateway string, id uint64, upstream string, prompt Prompt, begun bool) {
+	e := c.engines[upstream]
+	if e == nil {
+		return
+	}
+	unread := 0.0
+	if !begun && prompt.Tokens > 0 {
+		unread, _ = e.kept.unreadTokens(prompt)
+	}
+	c.place(Key{
+		Gateway: gateway,
+		ID:      id,
+	}, e, prompt, unread)
+}
+
+// Begun takes that the upstream has begun to answer.
+func (c *Core) Begun(now time.Time, key Key) {
+	p := c.placed[key]
+	if p == nil || !p.reading {
+		return
+	}
+	p.reading = false
+	p.engine.unread = max(0, p.engine.unread-p.unread)
+	c.worked(p.engine)
+	_ = now
+}
+
+// worked notes that an upstream has answered.
+func (c *Core) worked(e *engine) {
+	if !e.suspendedUntil.IsZero() {
+		c.changes = append(c.changes, Change{
+			Upstream: e.ID,
+			Service:  e.Service,
+			Failures: e.failures,
+		})
+	}
+	e.failures = 0
+	e.suspendedUntil = time.Time{}
+	e.probing = false
+}
+
+func (c *Core) end(key Key) *placed {
+	p := c.placed[key]
+	if p == nil {
+		return nil
+	}
+	delete(c.placed, key)
+	if p.reading {
+		p.engine.unread = max(0, p.engine.unread-p.unread)
+	}
+	p.engine.running--
+	return p
+}
+
+// Ended takes how an upstream's work on a request ended.
+func (c *Core) Ended(now time.Time, key Key, ending Ending) {
+	p := c.end(key)
+	if p == nil {
+		return
+	}
+	e := p.engine
+	switch ending {
+	case Answered:
+		c.worked(e)
+	case CallerLeft:
+		e.probing = false
+	case Unreachable, Gone:
+		c.suspend(now, e, ending)
+	case NotRun, Broken, Failed, Silent:
+		e.failures++
+		if e.failures >= failuresToSuspend || e.probing {
+			c.suspend(now, e, ending)
+		}
+	}
+}
+
+// suspend keeps requests from an upstream for a while.
+func (c *Core) suspend(now time.Time, e *engine, ending Ending) {
+	e.probing = false
+	e.failures = max(e.failures, failuresToSuspend)
+	span := min(firstSuspension<<min(e.failures-failuresToSuspend, 8), longestSuspension)
+	e.failures++
+	if until := now.Add(span); until.After(e.suspendedUntil) {
+		e.suspendedUntil = until
+		c.changes = append(c.changes, Change{
+			Upstream: e.ID,
+			Service:  e.Service,
+			Until:    until,
+			Failures: e.failures,
+			Cause:    ending,
+		})
+	}
+}
+
+// Change tells that an upstream gets no requests for a while, or works again.
+type Change struct {
+	Upstream string
+	Service  string
+	// Until is when it may be tried again; zero when it works again.
+	Until time.Time
+	// Failures counts those in a row.
+	Failures int
+	// Cause is how the last request there ended.
+	Cause Ending
+}
+
+// Changes returns what changed since the last call.
+func (c *Core) Changes() []Change {
+	changes := c.changes
+	c.changes = nil
+	return changes
+}
+
+// LoseGateway forgets the requests of a gateway that is gone.
+func (c *Core) LoseGateway(gateway string) {
+	for key := range c.placed {
+		if key.Gateway == gateway {
+			c.end(key)
+		}
+	}
+}
+
+// Placement is a request that is at an upstream.
+type Placement struct {
+	Key
+	Upstream string
+	Prompt   Prompt
+	// Begun tells that the answer has begun.
+	Begun bool
+}
+
+// Placements returns all requests that are at upstreams, in no order.
+func (c *Core) Placements() []Placement {
+	out := make([]Placement, 0, len(c.placed))
+	for key, p := range c.placed {
+		out = append(out, Placement{
+			Key:      key,
+			Upstream: p.engine.ID,
+			Prompt:   p.prompt,
+			Begun:    !p.reading,
+		})
+	}
+	return out
+}
+
+// Total sums what a Core knows of one service's upstreams.
+type Total struct {
+	Service string
+	// Listed are the upstreams in the platform's list, Usable those that take
+	// requests now.
+	Listed int
+	Usable int
+	// Slots is how many requests the listed ones run at once, Running how many they
+	// have.
+	Slots   int
+	Running int
+	// Unread are prompt tokens that were sent to them and not begun to be answered.
+	Unread int64
+}
+
+// Totals returns the sums of all services with listed upstreams, in no order.
+func (c *Core) Totals(now time.Time) []Total {
+	out := make([]Total, 0, len(c.services))
+	for service, engines := range c.services {
+		t := Total{
+			Service: service,
+			Listed:  len(engines),
+		}
+		for _, e := range engines {
+			if e.usable(now, true) {
+				t.Usable++
+			}
+			t.Slots += e.Slots
+			t.Running += e.running
+			t.Unread += int64(e.unread)
+		}
+		out = append(out, t)
+	}
+	return out
+}
+
+// Share returns the largest number of tokens that one team may have within the
+// window, and how many teams are counted.
+func (c *Core) Share() (tokens float64, teams int) {
+	return min(c.shares.level, maxShare), len(c.shares.teams)
+}
--- a/fleet/dispatch/request.go
+++ b/fleet/dispatch/request.go
@@ -78,8 +78,35 @@
 	Reason Reason `cbor:"4,keyasint,omitempty"`
 	// Quiet is how long requests of the same team and class would be refused as well.
 	Quiet time.Duration `cbor:"7,keyasint,omitempty"`
-	// Wait is the estimated time until the upstream begins to answer.
-	Wait time.Duration `cbor:"5,keyasint,omitempty"`
+	// Inputs are what decided.
+	Inputs Inputs `cbor:"8,keyasint,omitempty"`
+}
+
+// Who decides.
+const (
+	ByLeader  = "leader"
+	ByGateway = "gateway"
+)
+
+// Inputs are what a Decision was made by, for logs.
+type Inputs struct {
+	// By tells whose knowledge decided: the leader's of the whole fleet, or the
+	// gateway's own.
+	By string `cbor:"-"`
+	// Usable is how many upstreams could have taken the request.
+	Usable int `cbor:"2,keyasint,omitempty"`
+	// Running is how many requests were at the best of them.
+	Running int `cbor:"3,keyasint,omitempty"`
+	// Ahead is the estimated time until the best upstream has read the prompts
+	// before this one, and Own what reading this one takes.
+	Ahead time.Duration `cbor:"4,keyasint,omitempty"`
+	Own   time.Duration `cbor:"5,keyasint,omitempty"`
+	// Objective is the request's.
+	Objective time.Duration `cbor:"6,keyasint,omitempty"`
+	// Received is what the team was admitted within the window, in tokens, and Share
+	// what it is owed; both are zero while teams are not counted.
+	Received int64 `cbor:"7,keyasint,omitempty"`
+	Share    int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Reason tells why a request is refused.
@@ -118,6 +145,25 @@
 	Silent
 )
 
+var endings = [...]string{
+	Answered:    "answered",
+	CallerLeft:  "caller_left",
+	NotRun:      "not_run",
+	Unreachable: "unreachable",
+	Broken:      "broken",
+	Failed:      "failed",
+	Gone:        "gone",
+	Silent:      "silent",
+}
+
+// String returns the ending's name in logs.
+func (e Ending) String() string {
+	if int(e) < len(endings) {
+		return endings[e]
+	}
+	return "unknown"
+}
+
 // Upstream is one upstream as the platform's list has it.
 type Upstream struct {
 	ID      string `cbor:"1,keyasint"`
--- a/fleet/dispatch/share.go
+++ b/fleet/dispatch/share.go
@@ -13,6 +13,9 @@
 	hungryBuckets = 8
 	// maxLenience bounds how far a team that received less is preferred.
 	maxLenience = 4.0
+	// maxShare is the largest share that is reported, in tokens; a level without
+	// bound counts as it.
+	maxShare = 1e15
 )
 
 // window sums tokens over a sliding span of time.
--- a/fleet/program/program.go
+++ b/fleet/program/program.go
@@ -101,6 +101,27 @@
 	return nil
 }
 
+// Metrics serves /metrics alone, at an address that others reach, until the context
+// ends. An empty address serves nothing.
+func Metrics(ctx context.Context, address string, metrics *telemetry.Metrics) error {
+	if address == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return merry.Prepend(err, "metrics_listen")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", metrics.Handler())
+	server := NewServer(mux)
+	go func() {
+		<-ctx.Done()
+		server.Close()
+	}()
+	go server.Serve(listener)
+	return nil
+}
+
 // NewServer returns a server with the fleet's time limits.
 func NewServer(handler http.Handler) *http.Server {
 	return &http.Server{
--- a/fleet/steady/steady.go
+++ b/fleet/steady/steady.go
@@ -28,3 +28,6 @@
 
 // Before reports whether t is earlier than u.
 func (t Time) Before(u Time) bool { return t < u }
+
+// Sub returns the time from u to t.
+func (t Time) Sub(u Time) time.Duration { return time.Duration(t - u) }
--- a/fleet/telemetry/telemetry.go
+++ b/fleet/telemetry/telemetry.go
@@ -11,19 +11,11 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// NewLogger returns a logger whose lines carry the part's name as prefix.
-func NewLogger(w io.Writer, part string) *slog.Logger {
-	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{
-		ReplaceAttr: shortError,
-	})).With("part", part)
-}
-
-// shortError keeps the stack that an error may carry out of the logs.
-func shortError(_ []string, a slog.Attr) slog.Attr {
-	if err, ok := a.Value.Any().(error); ok {
-		a.Value = slog.StringValue(err.Error())
-	}
-	return a
+// NewLogger returns a logger whose lines are JSON objects that name the process.
+func NewLogger(w io.Writer, process string) *slog.Logger {
+	return slog.New(&lineHandler{
+		out: w,
+	}).With("process", process)
 }
 
 // Metrics is the registry of one program.
@@ -38,6 +30,13 @@
 	}
 }
 
+// CountLog registers the figures of a log.
+func (m *Metrics) CountLog(w *Writer) {
+	m.Gauge("log_lines_total", func() float64 { return float64(w.Lines()) })
+	m.Gauge("log_bytes_total", func() float64 { return float64(w.Bytes()) })
+	m.Gauge("log_lines_dropped_total", func() float64 { return float64(w.Dropped()) })
+}
+
 // Counter returns a counter by its full name with labels.
 func (m *Metrics) Counter(name string) *metrics.Counter { return m.set.GetOrCreateCounter(name) }
 
--- a/gateway/internal/controller/find.go
+++ b/gateway/internal/controller/find.go
@@ -15,18 +15,20 @@
 // keep holds a link to the leader until the context ends.
 func (l *Link) keep(ctx context.Context) {
 	for ctx.Err() == nil {
-		if c, first := l.find(ctx); c != nil {
-			l.use(c, first)
-			c.Close()
+		if f := l.find(ctx); f.conn != nil {
+			l.use(f)
+			f.conn.Close()
 		}
 	}
 }
 
-func (l *Link) use(c *link.Conn[wire.Serve], first wire.Serve) {
+func (l *Link) use(f found) {
+	c := f.conn
 	l.events <- event{
 		linked: c,
+		leader: f.target,
 	}
-	frame, err := first, error(nil)
+	frame, err := f.first, error(nil)
 	for err == nil {
 		arrived := frame // the control goroutine reads it later
 		l.events <- event{
@@ -36,7 +38,8 @@
 		frame, err = c.Receive()
 	}
 	l.events <- event{
-		lost: c,
+		lost:  c,
+		cause: err,
 	}
 }
 
@@ -49,9 +52,9 @@
 }
 
 // find asks all known controllers, each again and again, until one leads, and
-// returns a link to it. One that does not answer holds nobody up. The result is nil
-// when the context ends.
-func (l *Link) find(ctx context.Context) (*link.Conn[wire.Serve], wire.Serve) {
+// returns a link to it. One that does not answer holds nobody up. The result has no
+// link when the context ends.
+func (l *Link) find(ctx context.Context) found {
 	ctx, cancel := context.WithCancel(ctx)
 	answers := make(chan found)
 	asking := make(map[string]bool)
@@ -75,7 +78,7 @@
 				if f.conn != nil {
 					// The context must outlive the link.
 					go l.discard(answers, len(asking), f.conn, cancel)
-					return f.conn, f.first
+					return f
 				}
 			default:
 				waiting = false
@@ -83,7 +86,7 @@
 		}
 		if ctx.Err() != nil {
 			go l.discard(answers, len(asking), nil, cancel)
-			return nil, wire.Serve{}
+			return found{}
 		}
 	}
 }
--- a/gateway/internal/controller/link.go
+++ b/gateway/internal/controller/link.go
@@ -11,6 +11,7 @@
 	"baobabpaddle/fleet/dispatch"
 	"baobabpaddle/fleet/link"
 	"baobabpaddle/fleet/steady"
+	"baobabpaddle/fleet/trace"
 	"baobabpaddle/fleet/wire"
 )
 
@@ -47,7 +48,9 @@
 	begun  uint64
 	ended  *wire.Ended
 	linked *link.Conn[wire.Serve]
+	leader string // the address of linked
 	lost   *link.Conn[wire.Serve]
+	cause  error // of lost
 	frame  *wire.Serve
 	from   *link.Conn[wire.Serve]
 }
@@ -161,8 +164,9 @@
 		case e := <-l.events:
 			l.handle(e)
 			l.drain()
-		case <-pings.C:
+		case now := <-pings.C:
 			l.sendPing()
+			l.note(now)
 		case <-flush.C:
 			armed = false
 			l.expire(time.Now())
@@ -216,14 +220,23 @@
 			l.out.Ended = append(l.out.Ended, *e.ended)
 		}
 	case e.linked != nil:
-		l.linked(e.linked)
+		l.linked(e.linked, e.leader)
 	case e.lost != nil:
-		l.lost(e.lost)
+		l.lost(e.lost, e.cause)
 	case e.frame != nil && e.from == l.conn:
 		l.receive(*e.frame)
 	}
 }
 
+// note logs what the own core has learned of upstreams. While there is a leader,
+// it logs what all gateways have learned.
+func (l *Link) note(now time.Time) {
+	changes := l.core.Changes()
+	if l.conn == nil {
+		trace.Upstreams(l.log, now, changes)
+	}
+}
+
 func (l *Link) key(id uint64) dispatch.Key {
 	return dispatch.Key{
 		Gateway: l.settings.Name,
@@ -233,7 +246,7 @@
 
 func (l *Link) place(r dispatch.Request, a answer) {
 	if l.conn == nil {
-		a <- l.core.Place(time.Now(), l.settings.Name, r)
+		a <- l.placeAlone(time.Now(), r)
 		return
 	}
 	l.waiting[r.ID] = waiting{
@@ -261,8 +274,15 @@
 	}
 }
 
+// placeAlone decides by the gateway's own knowledge.
+func (l *Link) placeAlone(now time.Time, r dispatch.Request) dispatch.Decision {
+	d := l.core.Place(now, l.settings.Name, r)
+	d.Inputs.By = dispatch.ByGateway
+	return d
+}
+
 func (l *Link) decideAlone(now time.Time, w waiting) {
-	d := l.core.Place(now, l.settings.Name, w.request)
+	d := l.placeAlone(now, w.request)
 	if d.Upstream != "" && l.conn != nil {
 		l.out.Sent = append(l.out.Sent, wire.Sent{
 			ID:       w.request.ID,
@@ -273,7 +293,7 @@
 	w.answer <- d
 }
 
-func (l *Link) linked(c *link.Conn[wire.Serve]) {
+func (l *Link) linked(c *link.Conn[wire.Serve], leader string) {
 	if l.conn != nil {
 		l.conn.Close()
 	}
@@ -289,10 +309,11 @@
 	}
 	l.flush()
 	l.sendPing()
-	l.log.Info("linked to the leader")
+	l.setLeader(leader)
+	l.log.Info("linked to the leader", "leader", leader, "configuration", l.version, "at_upstreams", len(l.core.Placements()))
 }
 
-func (l *Link) lost(c *link.Conn[wire.Serve]) {
+func (l *Link) lost(c *link.Conn[wire.Serve], cause error) {
 	if l.conn != c {
 		return
 	}
@@ -307,7 +328,15 @@
 		}
 	}
 	l.order = nil
-	l.log.Info("link to the leader lost")
+	l.log.Warn("link to the leader lost", "leader", l.view.Load().Leader, "cause", cause,
+		"proof_left_ms", l.view.Load().ProvenUntil.Sub(steady.Now()).Milliseconds())
+	l.setLeader("")
+}
+
+func (l *Link) setLeader(address string) {
+	next := *l.view.Load()
+	next.Leader = address
+	l.view.Store(&next)
 }
 
 func (l *Link) sendPing() {
@@ -322,9 +351,8 @@
 
 // receive takes a frame of the leader.
 func (l *Link) receive(f wire.Serve) {
-	now := time.Now()
 	for _, d := range f.Decisions {
-		l.decided(now, d)
+		l.decided(d)
 	}
 	next := *l.view.Load()
 	changed := false
@@ -337,10 +365,11 @@
 			next.Table = configuration.NewTable(parsed)
 			l.core.SetConfiguration(next.Table)
 			changed = true
-			l.log.Info("configuration in force", "version", l.version)
+			l.log.Info("configuration in force", "version", l.version, "leader", next.Leader)
 		}
 	}
 	if f.Upstreams != nil {
+		l.log.Info("list of upstreams changed", "upstreams", len(f.Upstreams.List), "before", len(next.Upstreams))
 		next.Upstreams = make(map[string]dispatch.Upstream, len(f.Upstreams.List))
 		for _, u := range f.Upstreams.List {
 			next.Upstreams[u.ID] = u
@@ -372,7 +401,7 @@
 	}
 }
 
-func (l *Link) decided(now time.Time, d dispatch.Decision) {
+func (l *Link) decided(d dispatch.Decision) {
 	w, ok := l.waiting[d.ID]
 	if !ok {
 		return // decided here meanwhile, and the leader was told
@@ -381,6 +410,6 @@
 	if d.Upstream != "" {
 		l.core.Sent(l.settings.Name, d.ID, d.Upstream, w.request.Prompt, false)
 	}
+	d.Inputs.By = dispatch.ByLeader
 	w.answer <- d
-	_ = now
 }
--- a/gateway/internal/controller/view.go
+++ b/gateway/internal/controller/view.go
@@ -17,6 +17,9 @@
 	ProvenUntil steady.Time
 	// Gateways is how many gateways serve, this one included.
 	Gateways int
+	// Leader is the address of the leader that the gateway is linked to; empty
+	// without a link.
+	Leader string
 }
 
 // Proven reports whether the configuration may still be used for keys.
--- a/gateway/internal/serve/budget.go
+++ b/gateway/internal/serve/budget.go
@@ -60,25 +60,40 @@
 	return b.services[name]
 }
 
-// request counts a caller's request.
-func (b *retryBudget) request(now time.Time, service string) {
+// request counts a caller's request and reports whether it is the first one for
+// the service.
+func (b *retryBudget) request(now time.Time, service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	known := b.services[service] != nil
 	b.service(now, service)[b.slot%budgetBuckets].requests++
+	return !known
 }
 
-// retry reports whether one more retry is within the budget, and counts it.
-func (b *retryBudget) retry(now time.Time, service string, gateways int) bool {
+// left returns how many more retries of a service are within the budget.
+func (b *retryBudget) left(now time.Time, service string, gateways int) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c := b.service(now, service)
+	return b.spare(b.service(now, service), gateways)
+}
+
+// spare returns how many more retries are within the budget.
+func (b *retryBudget) spare(c *[budgetBuckets]counts, gateways int) float64 {
 	var sum counts
 	for _, bucket := range c {
 		sum.requests += bucket.requests
 		sum.retries += bucket.retries
 	}
 	allowed := ratioPart*b.settings.Ratio*sum.requests + slackPart*b.settings.Slack/float64(max(gateways, 1))
-	if sum.retries+1 > allowed {
+	return allowed - sum.retries
+}
+
+// retry reports whether one more retry is within the budget, and counts it.
+func (b *retryBudget) retry(now time.Time, service string, gateways int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.service(now, service)
+	if b.spare(c, gateways) < 1 {
 		return false
 	}
 	c[b.slot%budgetBuckets].retries++
--- /dev/null
+++ b/gateway/internal/serve/explain.go
@@ -0,0 +1,102 @@
+package serve
+
+import (
+	"net/http"
+	"time"
+
+	"baobabpaddle/fleet/steady"
+	"baobabpaddle/fleet/telemetry"
+	"baobabpaddle/fleet/trace"
+)
+
+// traced returns the lines about the request, which begin with the first step.
+func (x *exchange) traced() *trace.Request {
+	if !x.tracing {
+		if x.call.ID == "" {
+			// The identifier is read even if the rest is malformed.
+			x.call, _ = x.handler.protocol.ReadCall(x.r.Header)
+		}
+		x.steps = x.handler.trace.Request(x.call.ID, x.arrived)
+		x.tracing = true
+	}
+	return &x.steps
+}
+
+// about returns what is known of the request.
+func (x *exchange) about() trace.About {
+	about := trace.About{
+		Service: x.service,
+		Team:    x.team,
+		Prompt:  x.call.Prompt,
+	}
+	if x.route != nil {
+		about.Route = x.route.Name
+	}
+	if x.view.Table != nil {
+		about.Version = x.view.Table.Configuration.Version
+		about.ProofLeft = x.view.ProvenUntil.Sub(steady.Now())
+	}
+	if !x.deadline.IsZero() {
+		about.Waits = x.deadline.Sub(x.arrived)
+	}
+	return about
+}
+
+// outcomeLate names an answer that began after the route's objective.
+const outcomeLate = "answered_late"
+
+// ended notes how a request that went to upstreams ended for its caller.
+func (x *exchange) ended(result outcome) {
+	now := time.Now()
+	last := trace.Ended{
+		Status:  x.status,
+		Outcome: result.String(),
+		Took:    now.Sub(x.arrived),
+		Tries:   len(x.tried),
+	}
+	if !x.first.IsZero() {
+		last.First = x.first.Sub(x.arrived)
+	}
+	if result == answered && last.First > x.route.Objective() {
+		last.Outcome = outcomeLate
+	}
+	x.handler.counters.ended(last.Outcome)
+	if last.Outcome == answered.String() && x.status < http.StatusBadRequest {
+		x.traced().Served(now, last)
+		return
+	}
+	x.traced().Failed(now, last)
+}
+
+// counters count what became of requests.
+type counters struct {
+	metrics *telemetry.Metrics
+}
+
+func newCounters(m *telemetry.Metrics) *counters {
+	return &counters{
+		metrics: m,
+	}
+}
+
+// refused counts a request that was refused; reasons are few and fixed.
+func (c *counters) refused(reason string) {
+	c.metrics.Counter(`gateway_refused_total{code="` + reason + `"}`).Inc()
+}
+
+// tried counts what became of a request at one upstream.
+func (c *counters) tried(result outcome) {
+	c.metrics.Counter(`gateway_upstream_tries_total{outcome="` + result.String() + `"}`).Inc()
+}
+
+// ended counts a request that went to upstreams.
+func (c *counters) ended(outcome string) {
+	c.metrics.Counter(`gateway_requests_total{outcome="` + outcome + `"}`).Inc()
+}
+
+// retriesLeft registers the gauge of a service's retry budget.
+func (c *counters) retriesLeft(service string, h *Handler) {
+	c.metrics.Gauge(`gateway_retries_left{service="`+service+`"}`, func() float64 {
+		return h.budget.left(time.Now(), service, h.fleet.View().Gateways)
+	})
+}
--- /dev/null
+++ b/gateway/internal/serve/explain_test.go
@@ -0,0 +1,140 @@
+package serve
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"baobabpaddle/fleet/dispatch"
+	"baobabpaddle/fleet/trace"
+)
+
+// lines collects a handler's log.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// of returns the lines about a request, once the last of them has the message.
+func (l *lines) of(t *testing.T, request, last string) []map[string]any {
+	t.Helper()
+	for range 100 {
+		l.mu.Lock()
+		whole := l.text.String()
+		l.mu.Unlock()
+		var out []map[string]any
+		for line := range strings.Lines(whole) {
+			var fields map[string]any
+			if err := json.Unmarshal([]byte(line), &fields); err != nil {
+				t.Fatal(err)
+			}
+			if fields[trace.KeyRequest] == request {
+				out = append(out, fields)
+			}
+		}
+		if len(out) > 0 && out[len(out)-1]["msg"] == last {
+			return out
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("no line %q about request %q in\n%s", last, request, l.text.String())
+	return nil
+}
+
+func logged(b *bed) *lines {
+	l := &lines{}
+	b.handler.trace = trace.New(slog.New(slog.NewJSONHandler(l, nil)))
+	return l
+}
+
+// askAs sends a request with an identifier; some answers are broken off.
+func (b *bed) askAs(path, id string) {
+	_, _, _ = b.ask(path, "Baobabpaddle-Attempt-Id", id, "X-Api-Key", "key-1")
+}
+
+// TestRefusedKeepsItsInputs refuses a request for its team's share: one line tells
+// what decided.
+func TestRefusedKeepsItsInputs(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	b.fleet.refuse = &dispatch.Decision{
+		Reason:     dispatch.OverShare,
+		RetryAfter: 250 * time.Millisecond,
+		Inputs: dispatch.Inputs{
+			By:       dispatch.ByLeader,
+			Usable:   3,
+			Received: 500,
+			Share:    400,
+		},
+	}
+	l := logged(b)
+	b.askAs("/chat/", "r1")
+	got := l.of(t, "r1", trace.MsgRefused)
+	is.Equal(len(got), 1)
+	is.Equal(got[0][trace.KeyReason], string(dispatch.OverShare))
+	is.Equal(got[0][trace.KeyStatus], 429.0)
+	is.Equal(got[0][trace.KeyTeam], "north")
+	is.Equal(got[0][trace.KeyVersion], 3.0)
+	is.Equal(got[0][trace.KeyBy], dispatch.ByLeader)
+	is.Equal(got[0][trace.KeyReceived], 500.0)
+	is.Equal(got[0][trace.KeyShare], 400.0)
+	is.Equal(got[0][trace.KeyRetryAfter], 250.0)
+}
+
+// TestBrokenStreamKeepsAllLines breaks a stream off after its first event where it
+// may not be resumed: placed, tried, not retried and ended are all there, also when
+// the requests of this second that are written in full are used up.
+func TestBrokenStreamKeepsAllLines(t *testing.T) {
+	is := is.New(t)
+	fine := reply("200 OK", stamp, "ok")
+	half := stream("id: 1\ndata: one\n\n", false)
+	b := newBed(t, func(w net.Conn, r *http.Request) bool {
+		if r.URL.Path == "/look/" {
+			return fine(w, r)
+		}
+		return half(w, r)
+	})
+	l := logged(b)
+	for range 2 * trace.FullPerSecond {
+		b.askAs("/look/", "other")
+	}
+	b.askAs("/draft/", "r1")
+	got := l.of(t, "r1", trace.MsgEnded)
+	is.Equal(len(got), 4)
+	for i, msg := range []string{trace.MsgPlaced, trace.MsgTried, trace.MsgNotRetried, trace.MsgEnded} {
+		is.Equal(got[i]["msg"], msg)
+	}
+	is.Equal(got[1][trace.KeyOutcome], cut.String())
+	is.Equal(got[1][trace.KeyEvent], "1")
+	is.True(got[1][trace.KeyCause] != nil)
+	is.Equal(got[2][trace.KeyReason], "may_have_run")
+	is.Equal(got[3][trace.KeyOutcome], cut.String())
+	is.Equal(got[3][trace.KeyTries], 1.0)
+}
+
+// TestRefusedEarlyIsNamed refuses a request before its headers are looked at: its
+// line still has its identifier.
+func TestRefusedEarlyIsNamed(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	b.fleet.view.Table = nil
+	l := logged(b)
+	b.askAs("/chat/", "r1")
+	got := l.of(t, "r1", trace.MsgRefused)
+	is.Equal(got[0][trace.KeyReason], "not_ready")
+	is.Equal(got[0][trace.KeyStatus], 503.0)
+}
--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -16,6 +16,7 @@
 	"baobabpaddle/fleet/dispatch"
 	"baobabpaddle/fleet/problem"
 	"baobabpaddle/fleet/telemetry"
+	"baobabpaddle/fleet/trace"
 	"baobabpaddle/gateway/internal/controller"
 	"baobabpaddle/gateway/internal/upstream"
 )
@@ -62,8 +63,10 @@
 	lag      Lag
 	quiet    quiet
 
+	trace    *trace.Log
 	requests *telemetry.Histograms
 	first    *telemetry.Histograms
+	counters *counters
 }
 
 // Settings configures a Handler.
@@ -85,6 +88,8 @@
 		protocol: protocol,
 		zone:     s.Zone,
 		log:      log,
+		trace:    trace.New(log),
+		counters: newCounters(metrics),
 		budget:   newRetryBudget(s.Retry),
 		requests: metrics.Histograms("gateway_request_seconds"),
 		first:    metrics.Histograms("gateway_first_byte_seconds"),
@@ -133,14 +138,29 @@
 }
 
 // refuse answers with a problem. Nothing has run.
-func (h *Handler) refuse(w http.ResponseWriter, status int, code problem.Code, detail string, retry time.Duration) {
+func (x *exchange) refuse(status int, code problem.Code, detail string, retry time.Duration) {
+	x.refuseFor(dispatch.Reason(code), dispatch.Inputs{}, status, code, detail, retry)
+}
+
+// refuseFor is refuse with the reason and the inputs of a decision.
+func (x *exchange) refuseFor(reason dispatch.Reason, in dispatch.Inputs, status int, code problem.Code, detail string, retry time.Duration) {
+	h := x.handler
 	if h.conns.Crowded() {
-		w.Header().Set("Connection", "close")
+		x.w.Header().Set("Connection", "close")
 	}
 	if retry > 0 {
-		w.Header().Set("Retry-After", h.protocol.RetryAfter(retry))
+		x.w.Header().Set("Retry-After", h.protocol.RetryAfter(retry))
 	}
-	problem.NotRunAt(status, code, detail).Write(w)
+	problem.NotRunAt(status, code, detail).Write(x.w)
+	h.counters.refused(string(reason))
+	x.traced().Failed(time.Now(), trace.Refused{
+		About:      x.about(),
+		Status:     status,
+		Reason:     string(reason),
+		Cause:      detail,
+		RetryAfter: retry,
+		Inputs:     in,
+	})
 }
 
 // mostTokens returns how many tokens may well be generated.
@@ -159,23 +179,22 @@
 	if h.drainEnd.Load() != 0 || h.load.Resting() {
 		w.Header().Set("Connection", "close")
 	}
-	view := h.fleet.View()
-	if view.Table == nil {
-		h.refuse(w, http.StatusServiceUnavailable, problem.NotReady, "no configuration yet", notReadyRetry)
-		return
-	}
-	if h.lag.shed() {
-		w.Header().Set("Connection", "close")
-		h.refuse(w, http.StatusServiceUnavailable, problem.TooManyWaiting, "this gateway is short of processor time", shedRetry)
-		return
-	}
 	x := &exchange{
 		handler: h,
-		view:    view,
+		view:    h.fleet.View(),
 		w:       w,
 		r:       r,
 		arrived: arrived,
 	}
+	if x.view.Table == nil {
+		x.refuse(http.StatusServiceUnavailable, problem.NotReady, "no configuration yet", notReadyRetry)
+		return
+	}
+	if h.lag.shed() {
+		w.Header().Set("Connection", "close")
+		x.refuse(http.StatusServiceUnavailable, problem.TooManyWaiting, "this gateway is short of processor time", shedRetry)
+		return
+	}
 	if !x.admit() {
 		return
 	}
@@ -205,6 +224,12 @@
 	// What was passed on to the caller so far.
 	begun  bool
 	events eventScanner
+	status int       // zero before the answer
+	first  time.Time // when the answer began
+	broke  error     // why an answer broke off, until it was noted
+
+	steps   trace.Request
+	tracing bool // steps has begun
 }
 
 // admit finds the route and the team, or answers.
@@ -215,25 +240,25 @@
 	x.route = x.view.Table.Route(x.r.Host, path)
 	if x.route == nil {
 		if !proven {
-			h.refuse(x.w, http.StatusServiceUnavailable, problem.NotReady, "the configuration may be old", notReadyRetry)
+			x.refuse(http.StatusServiceUnavailable, problem.NotReady, "the configuration may be old", notReadyRetry)
 			return false
 		}
-		h.refuse(x.w, http.StatusNotFound, problem.NotFound, "no route", 0)
+		x.refuse(http.StatusNotFound, problem.NotFound, "no route", 0)
 		return false
 	}
 	var err error
 	if x.call, err = h.protocol.ReadCall(x.r.Header); err != nil {
-		h.refuse(x.w, http.StatusBadRequest, problem.MalformedBody, err.Error(), 0)
+		x.refuse(http.StatusBadRequest, problem.MalformedBody, err.Error(), 0)
 		return false
 	}
 	if !x.route.WithoutKey && len(x.view.Table.Configuration.Teams) > 0 {
 		if !proven {
-			h.refuse(x.w, http.StatusServiceUnavailable, problem.NotReady, "the configuration may be old", notReadyRetry)
+			x.refuse(http.StatusServiceUnavailable, problem.NotReady, "the configuration may be old", notReadyRetry)
 			return false
 		}
 		team := x.view.Table.TeamOfKey(x.call.Key)
 		if team == nil {
-			h.refuse(x.w, http.StatusUnauthorized, problem.Unauthorized, "unknown key", 0)
+			x.refuse(http.StatusUnauthorized, problem.Unauthorized, "unknown key", 0)
 			return false
 		}
 		x.team = team.Name
@@ -245,16 +270,19 @@
 	x.deadline = x.arrived.Add(wait)
 	x.service = x.route.Choose(rand.Float64())
 	if x.tooLong() {
-		h.refuse(x.w, http.StatusServiceUnavailable, problem.Draining, "this gateway stops soon", drainRetry)
+		x.refuse(http.StatusServiceUnavailable, problem.Draining, "this gateway stops soon", drainRetry)
 		return false
 	}
 	if x.team != "" && !h.quiet.ask(x.quietKey(), x.arrived) {
-		h.refuse(x.w, http.StatusTooManyRequests, problem.TooManyWaiting, overShare, x.soon())
+		x.refuseFor(refusedLately, dispatch.Inputs{}, http.StatusTooManyRequests, problem.TooManyWaiting, overShare, x.soon())
 		return false
 	}
 	return true
 }
 
+// refusedLately is the reason of refusals that a gateway repeats by itself.
+const refusedLately dispatch.Reason = "over_share_lately"
+
 // overShare tells a caller why its team is refused.
 const overShare = "the team is over its share"
 
@@ -289,13 +317,13 @@
 		limit = defaultBodyBytes
 	}
 	if x.r.ContentLength > limit {
-		x.handler.refuse(x.w, http.StatusRequestEntityTooLarge, problem.BodyTooLarge, "the body is too large", 0)
+		x.refuse(http.StatusRequestEntityTooLarge, problem.BodyTooLarge, "the body is too large", 0)
 		return false
 	}
 	if x.r.ContentLength > 0 {
 		x.body = make([]byte, x.r.ContentLength)
 		if _, err := io.ReadFull(x.r.Body, x.body); err != nil {
-			x.handler.refuse(x.w, http.StatusBadRequest, problem.BodyTruncated, "the body ended early", 0)
+			x.refuse(http.StatusBadRequest, problem.BodyTruncated, "the body ended early", 0)
 			return false
 		}
 		return true
@@ -304,11 +332,11 @@
 	x.body, err = io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		x.handler.refuse(x.w, http.StatusRequestEntityTooLarge, problem.BodyTooLarge, "the body is too large", 0)
+		x.refuse(http.StatusRequestEntityTooLarge, problem.BodyTooLarge, "the body is too large", 0)
 		return false
 	}
 	if err != nil {
-		x.handler.refuse(x.w, http.StatusBadRequest, problem.BodyTruncated, "the body ended early", 0)
+		x.refuse(http.StatusBadRequest, problem.BodyTruncated, "the body ended early", 0)
 		return false
 	}
 	return true
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -2,9 +2,7 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -13,6 +11,7 @@
 	"baobabpaddle/fleet/configuration"
 	"baobabpaddle/fleet/dispatch"
 	"baobabpaddle/fleet/problem"
+	"baobabpaddle/fleet/trace"
 	"baobabpaddle/gateway/internal/upstream"
 )
 
@@ -34,10 +33,23 @@
 	late
 )
 
+var outcomes = [...]string{
+	answered: "answered",
+	notRun:   "not_run",
+	failed:   "failed",
+	cut:      "cut",
+	left:     "caller_left",
+	late:     "late",
+}
+
+func (o outcome) String() string { return outcomes[o] }
+
 // run places the request and sends it, again where that is allowed.
 func (x *exchange) run() {
 	h := x.handler
-	h.budget.request(x.arrived, x.service)
+	if h.budget.request(x.arrived, x.service) {
+		h.counters.retriesLeft(x.service, h)
+	}
 	attempts := max(x.route.MaxUpstreams, 1)
 	mayHaveRun := false
 	var result outcome
@@ -48,30 +60,43 @@
 			x.unplaced(d, mayHaveRun)
 			return
 		}
+		x.traced().Step(time.Now(), trace.Placed{
+			About:    x.about(),
+			Upstream: d.Upstream,
+			Inputs:   d.Inputs,
+		})
 		result = x.try(d)
 		x.tried = append(x.tried, d.Upstream)
 		switch result {
 		case answered, left:
+			x.ended(result)
 			return
 		case failed, cut:
 			mayHaveRun = true
 		}
-		if !x.again(result, attempts) {
+		if why := x.notAgain(result, attempts); why != "" {
+			x.traced().Step(time.Now(), trace.NotRetried{
+				Reason: why,
+			})
 			break
 		}
 	}
 	x.giveUp(result, mayHaveRun)
 }
 
-// again reports whether the request may go to another upstream.
-func (x *exchange) again(result outcome, attempts int) bool {
-	if len(x.tried) >= attempts || result == late || !time.Now().Before(x.deadline) {
-		return false
-	}
-	if result != notRun && !x.route.Idempotent() {
-		return false
+// notAgain returns why the request may go to no other upstream, or "".
+func (x *exchange) notAgain(result outcome, attempts int) string {
+	switch {
+	case result == late || !time.Now().Before(x.deadline):
+		return "deadline"
+	case len(x.tried) >= attempts:
+		return "attempts"
+	case result != notRun && !x.route.Idempotent():
+		return "may_have_run"
+	case !x.handler.budget.retry(time.Now(), x.service, x.view.Gateways):
+		return "budget"
 	}
-	return x.handler.budget.retry(time.Now(), x.service, x.view.Gateways)
+	return ""
 }
 
 // ask describes the request to the fleet's placing.
@@ -101,55 +126,85 @@
 	retry := d.RetryAfter
 	switch d.Reason {
 	case dispatch.OverShare:
-		x.handler.refuse(x.w, http.StatusTooManyRequests, problem.TooManyWaiting, overShare, retry)
+		x.refuseFor(d.Reason, d.Inputs, http.StatusTooManyRequests, problem.TooManyWaiting, overShare, retry)
 	case dispatch.NoUpstream:
-		x.handler.refuse(x.w, http.StatusServiceUnavailable, problem.NoUpstream, "no upstream takes requests", retry)
+		x.refuseFor(d.Reason, d.Inputs, http.StatusServiceUnavailable, problem.NoUpstream, "no upstream takes requests", retry)
 	default:
-		x.handler.refuse(x.w, http.StatusServiceUnavailable, problem.TooManyWaiting, "all upstreams are busy", retry)
+		x.refuseFor(d.Reason, d.Inputs, http.StatusServiceUnavailable, problem.TooManyWaiting, "all upstreams are busy", retry)
 	}
 }
 
 // giveUp ends a request that went to upstreams in vain.
 func (x *exchange) giveUp(result outcome, mayHaveRun bool) {
 	if x.begun {
+		x.ended(result)
 		// A broken connection is the only way to tell that the answer is not whole.
 		panic(http.ErrAbortHandler)
 	}
-	h := x.handler
 	switch {
-	case result == late && mayHaveRun, result == late:
-		problem.New(http.StatusGatewayTimeout, problem.DeadlinePassed, "no answer in time").Write(x.w)
+	case result == late:
+		x.status = http.StatusGatewayTimeout
+		problem.New(x.status, problem.DeadlinePassed, "no answer in time").Write(x.w)
 	case mayHaveRun:
-		p := problem.New(http.StatusBadGateway, problem.UpstreamFailed, "the upstream failed")
+		x.status = http.StatusBadGateway
+		p := problem.New(x.status, problem.UpstreamFailed, "the upstream failed")
 		p.Run = problem.RunUnknown
 		p.Write(x.w)
 	default:
-		h.refuse(x.w, http.StatusServiceUnavailable, problem.NoUpstream, "no upstream took the request", rejectedRetry)
+		x.refuse(http.StatusServiceUnavailable, problem.NoUpstream, "no upstream took the request", rejectedRetry)
+		return
 	}
+	x.ended(result)
 }
 
 // try sends the request to one upstream and passes its answer on.
 func (x *exchange) try(d dispatch.Decision) outcome {
+	started := time.Now()
+	seen := trace.Tried{
+		Upstream: d.Upstream,
+	}
+	result := x.send(d, &seen)
+	now := time.Now()
+	seen.Outcome = result.String()
+	seen.Took = now.Sub(started)
+	seen.LastEvent = string(x.events.last)
+	if seen.Cause == "" && x.broke != nil {
+		seen.Cause = x.broke.Error()
+	}
+	x.broke = nil
+	x.traced().Step(now, seen)
+	x.handler.counters.tried(result)
+	return result
+}
+
+// send has one upstream run the request, and tells the fleet how that ended.
+func (x *exchange) send(d dispatch.Decision, seen *trace.Tried) outcome {
 	h := x.handler
 	target, ok := h.fleet.View().Upstreams[d.Upstream]
 	if !ok {
+		seen.Cause = "the upstream is no longer listed"
 		h.fleet.Ended(d.ID, dispatch.Unreachable)
 		return notRun
 	}
 	answer, err := h.client.Send(x.r.Context(), target.Address, x.request(target.ID))
 	if err != nil {
+		seen.Cause = err.Error()
 		return x.sendFailed(d.ID, err)
 	}
 	defer answer.Close()
+	seen.Status = answer.Status
 	reply := h.protocol.ReadReply(answer.Status, answer.Header)
 	switch {
 	case reply.OtherUpstream:
+		seen.Cause = "another upstream has the address"
 		h.fleet.Ended(d.ID, dispatch.Gone)
 		return notRun
 	case reply.NotRun && answer.Status != http.StatusBadRequest:
+		seen.Cause = "the upstream rejected the request"
 		h.fleet.Ended(d.ID, dispatch.NotRun)
 		return notRun
 	case answer.Status < http.StatusMultipleChoices && (!reply.Signed || answer.Header.Get("Content-Encoding") != ""):
+		seen.Cause = "the answer was not made by an upstream"
 		h.fleet.Ended(d.ID, dispatch.Broken)
 		return failed
 	case answer.Status >= http.StatusInternalServerError && x.route.Idempotent() && len(x.tried)+1 < x.route.MaxUpstreams:
@@ -211,151 +266,3 @@
 	h.fleet.Ended(id, dispatch.Broken)
 	return failed
 }
-
-// pass has an answer passed on and reports how it ended.
-func (x *exchange) pass(id uint64, answer *upstream.Answer, how func(uint64, *upstream.Answer) outcome) outcome {
-	h := x.handler
-	result := how(id, answer)
-	switch {
-	case result == answered:
-		h.fleet.Ended(id, dispatch.Answered)
-		h.requests.UpdateSince(x.team, x.service, x.arrived)
-	case result == left, x.r.Context().Err() != nil:
-		h.fleet.Ended(id, dispatch.CallerLeft)
-		return left
-	case result == late:
-		h.fleet.Ended(id, dispatch.Silent)
-	default:
-		h.fleet.Ended(id, dispatch.Broken)
-	}
-	return result
-}
-
-// begin passes the head of an answer on.
-func (x *exchange) begin(answer *upstream.Answer, length int64) {
-	if x.begun {
-		return
-	}
-	x.begun = true
-	header := x.w.Header()
-	for name, values := range answer.Header {
-		if perConnection[name] {
-			continue
-		}
-		header[name] = slices.Clone(values)
-	}
-	if length >= 0 {
-		header.Set("Content-Length", strconv.FormatInt(length, 10))
-	}
-	x.w.WriteHeader(answer.Status)
-	x.handler.first.UpdateSince(x.team, x.service, x.arrived)
-}
-
-// perConnection are headers of an upstream's answer that concern its connection
-// only. The length is set anew.
-var perConnection = map[string]bool{
-	"Connection":        true,
-	"Keep-Alive":        true,
-	"Proxy-Connection":  true,
-	"Te":                true,
-	"Trailer":           true,
-	"Transfer-Encoding": true,
-	"Upgrade":           true,
-	"Content-Length":    true,
-}
-
-// passWhole reads an answer to its end before it passes it on, so that one that
-// breaks off never looks whole.
-func (x *exchange) passWhole(id uint64, answer *upstream.Answer) outcome {
-	body, err := io.ReadAll(answer)
-	if err != nil || (answer.Length > 0 && int64(len(body)) != answer.Length && x.r.Method != http.MethodHead) {
-		if !time.Now().Before(x.deadline) {
-			return late
-		}
-		return failed
-	}
-	x.handler.fleet.Begun(id)
-	length := int64(len(body))
-	if x.r.Method == http.MethodHead {
-		length = answer.Length
-	}
-	x.begin(answer, length)
-	if _, err := x.w.Write(body); err != nil {
-		return left
-	}
-	return answered
-}
-
-// readBytes is how much of a stream is read at once.
-const readBytes = 8 << 10
-
-// passEvents passes a stream on as its events arrive, whole events only. The
-// head follows the first event, so that a failure before it can be told.
-func (x *exchange) passEvents(id uint64, answer *upstream.Answer) outcome {
-	buffer := make([]byte, readBytes)
-	control := http.NewResponseController(x.w)
-	first := true
-	var began time.Time
-	for {
-		n, err := answer.Read(buffer)
-		if n > 0 {
-			if whole := x.events.next(buffer[:n]); len(whole) > 0 {
-				if first {
-					first = false
-					began = time.Now()
-					x.handler.fleet.Begun(id)
-				}
-				x.begin(answer, -1)
-				if _, err := x.w.Write(whole); err != nil {
-					return left
-				}
-				if err := control.Flush(); err != nil {
-					return left
-				}
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			x.handler.pace.saw(x.tokens(), time.Since(began))
-			return x.streamEnded(answer)
-		}
-		if err != nil {
-			return x.streamBroke()
-		}
-	}
-}
-
-// tokens returns about how many tokens the stream has brought: identifiers of
-// events count from one.
-func (x *exchange) tokens() int {
-	events, err := strconv.Atoi(string(x.events.last))
-	if err != nil {
-		return 0
-	}
-	perEvent := 1
-	if s := x.view.Table.Service(x.service); s != nil && s.Engine != nil {
-		perEvent = max(s.Engine.TokensPerEvent, 1)
-	}
-	return events * perEvent
-}
-
-// streamEnded judges a stream whose connection or framing says that it is over.
-func (x *exchange) streamEnded(answer *upstream.Answer) outcome {
-	if x.events.torn() {
-		return x.streamBroke()
-	}
-	x.begin(answer, -1)
-	return answered
-}
-
-func (x *exchange) streamBroke() outcome {
-	x.events.forget()
-	switch {
-	case x.r.Context().Err() != nil:
-		return left
-	case !time.Now().Before(x.deadline):
-		return late
-	case x.begun:
-		return cut
-	}
-	return failed
-}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -44,7 +44,9 @@
 }
 
 func serveCallers(ctx context.Context, s ServeSettings, changes <-chan ServeSettings) error {
-	log := telemetry.NewLogger(os.Stdout, "gateway "+s.Name)
+	out := telemetry.NewWriter(os.Stdout)
+	defer out.Close()
+	log := telemetry.NewLogger(out, "gateway "+s.Name)
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryMB) * (1 << 20)))
 		debug.SetGCPercent(gcPercent)
@@ -74,6 +76,10 @@
 	if err := program.Admin(life, s.AdminListen, p.metrics, p.ready); err != nil {
 		return err
 	}
+	if err := program.Metrics(life, s.MetricsListen, p.metrics); err != nil {
+		return err
+	}
+	p.metrics.CountLog(out)
 	go p.link.Run(life)
 	go p.prune(life)
 	server := program.NewServer(p.handler)
@@ -128,6 +134,7 @@
 			Window: time.Duration(s.RetryWindowSeconds * float64(time.Second)),
 		},
 	}, p.link, p.client, protocol, p.metrics, log)
+	p.registerMetrics()
 	return p
 }
 
--- /dev/null
+++ b/gateway/serve_metrics.go
@@ -0,0 +1,32 @@
+package main
+
+import "baobabpaddle/fleet/steady"
+
+// registerMetrics registers the figures of a gateway that serves.
+func (p *serving) registerMetrics() {
+	m := p.metrics
+	m.Gauge("gateway_in_flight", func() float64 { return float64(p.handler.InFlight()) })
+	m.Gauge("gateway_callers_connections", func() float64 { return float64(p.handler.Conns().Open()) })
+	m.Gauge("gateway_linked", func() float64 {
+		if p.link.View().Leader != "" {
+			return 1
+		}
+		return 0
+	})
+	m.Gauge("gateway_configuration_version", func() float64 {
+		if t := p.link.View().Table; t != nil {
+			return float64(t.Configuration.Version)
+		}
+		return 0
+	})
+	m.Gauge("gateway_proof_left_seconds", func() float64 {
+		return p.link.View().ProvenUntil.Sub(steady.Now()).Seconds()
+	})
+	m.Gauge("gateway_upstreams_listed", func() float64 { return float64(len(p.link.View().Upstreams)) })
+	m.Gauge("gateway_resting", func() float64 {
+		if p.handler.Load().Resting() {
+			return 1
+		}
+		return 0
+	})
+}
--- a/gateway/serve_settings.go
+++ b/gateway/serve_settings.go
@@ -23,6 +23,9 @@
 	ReadyListen string `json:"ready_listen"`
 	// AdminListen is the loopback address for metrics and health; empty means none.
 	AdminListen string `json:"admin_listen,omitempty"`
+	// MetricsListen is the address where metrics are read from other hosts; empty
+	// means none.
+	MetricsListen string `json:"metrics_listen,omitempty"`
 	// Seeds are addresses for operators of some controllers.
 	Seeds []string `json:"seeds"`
 	// Port is where the fleet's processes reach controllers, on all hosts.
@@ -74,6 +77,7 @@
 		settings.Address("listen", s.Listen),
 		settings.Address("ready_listen", s.ReadyListen),
 		settings.OptionalLoopback("admin_listen", s.AdminListen),
+		settings.OptionalAddress("metrics_listen", s.MetricsListen),
 		settings.Addresses("seeds", s.Seeds),
 		settings.Between("port", s.Port, 1, maxPort),
 		settings.Between("memory_mb", s.MemoryMB, 0, maxMemoryMB),
