serve: leave an upstream that says nothing, and two faults of resumed and reset answers

Found with the new logs: requests placed at an upstream that had died or lost its connection were held until their deadline, also where the route allows another upstream. Ruled out: keep-alive probes, which find dead hosts only and after 5 s.

Change: a repeatable request leaves an upstream that has not begun to answer after 0.6, or sent nothing for 0.5, of the time after which callers leave; whole answers after three objectives. Only while attempts and the budget allow another one.

--- a/fleet/configuration/table.go
+++ b/fleet/configuration/table.go
@@ -107,3 +107,9 @@
 
 // Objective returns the time within which an answer is on time.
 func (r *Route) Objective() time.Duration { return time.Duration(r.ObjectiveMillis) * time.Millisecond }
+
+// PauseObjective returns the longest pause of a stream that is on time; zero is not
+// set.
+func (r *Route) PauseObjective() time.Duration {
+	return time.Duration(r.PauseObjectiveMillis) * time.Millisecond
+}
--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -220,6 +220,10 @@
 	body     []byte
 	deadline time.Time
 	tried    []string
+	// mayHaveRun tells that an upstream that was tried may have run the request.
+	mayHaveRun bool
+	// counted tells that the next try was counted in the budget for retries.
+	counted bool
 
 	// What was passed on to the caller so far.
 	begun  bool
--- a/gateway/internal/serve/pass.go
+++ b/gateway/internal/serve/pass.go
@@ -23,7 +23,7 @@
 	case result == left, x.r.Context().Err() != nil:
 		h.fleet.Ended(id, dispatch.CallerLeft)
 		return left
-	case result == late:
+	case result == late, errors.Is(x.broke, upstream.ErrSilent):
 		h.fleet.Ended(id, dispatch.Silent)
 	default:
 		h.fleet.Ended(id, dispatch.Broken)
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -51,13 +51,12 @@
 		h.counters.retriesLeft(x.service, h)
 	}
 	attempts := max(x.route.MaxUpstreams, 1)
-	mayHaveRun := false
 	var result outcome
 	for {
 		d := h.fleet.Place(x.r.Context(), x.ask())
 		x.answered(d.Quiet)
 		if d.Upstream == "" {
-			x.unplaced(d, mayHaveRun)
+			x.unplaced(d)
 			return
 		}
 		x.traced().Step(time.Now(), trace.Placed{
@@ -72,7 +71,7 @@
 			x.ended(result)
 			return
 		case failed, cut:
-			mayHaveRun = true
+			x.mayHaveRun = true
 		}
 		if why := x.notAgain(result, attempts); why != "" {
 			x.traced().Step(time.Now(), trace.NotRetried{
@@ -81,7 +80,7 @@
 			break
 		}
 	}
-	x.giveUp(result, mayHaveRun)
+	x.giveUp(result)
 }
 
 // notAgain returns why the request may go to no other upstream, or "".
@@ -93,12 +92,21 @@
 		return "attempts"
 	case result != notRun && !x.route.Idempotent():
 		return "may_have_run"
-	case !x.handler.budget.retry(time.Now(), x.service, x.view.Gateways):
+	case !x.mayRetry():
 		return "budget"
 	}
 	return ""
 }
 
+// mayRetry reports whether the budget allows another try, and counts it once.
+func (x *exchange) mayRetry() bool {
+	if x.counted {
+		x.counted = false
+		return true
+	}
+	return x.handler.budget.retry(time.Now(), x.service, x.view.Gateways)
+}
+
 // ask describes the request to the fleet's placing.
 func (x *exchange) ask() dispatch.Request {
 	h := x.handler
@@ -112,15 +120,15 @@
 		Objective:  x.route.Objective(),
 		Left:       time.Until(x.deadline),
 		Tried:      x.tried,
-		Resumed:    x.begun,
+		Resumed:    x.begun || x.mayHaveRun,
 		Repeatable: x.route.Idempotent(),
 	}
 }
 
 // unplaced answers a request that the fleet has no place for.
-func (x *exchange) unplaced(d dispatch.Decision, mayHaveRun bool) {
-	if x.begun || mayHaveRun {
-		x.giveUp(failed, mayHaveRun)
+func (x *exchange) unplaced(d dispatch.Decision) {
+	if x.begun || x.mayHaveRun {
+		x.giveUp(failed)
 		return
 	}
 	retry := d.RetryAfter
@@ -135,7 +143,7 @@
 }
 
 // giveUp ends a request that went to upstreams in vain.
-func (x *exchange) giveUp(result outcome, mayHaveRun bool) {
+func (x *exchange) giveUp(result outcome) {
 	if x.begun {
 		x.ended(result)
 		// A broken connection is the only way to tell that the answer is not whole.
@@ -145,7 +153,7 @@
 	case result == late:
 		x.status = http.StatusGatewayTimeout
 		problem.New(x.status, problem.DeadlinePassed, "no answer in time").Write(x.w)
-	case mayHaveRun:
+	case x.mayHaveRun:
 		x.status = http.StatusBadGateway
 		p := problem.New(x.status, problem.UpstreamFailed, "the upstream failed")
 		p.Run = problem.RunUnknown
@@ -207,6 +215,10 @@
 		seen.Cause = "the answer was not made by an upstream"
 		h.fleet.Ended(d.ID, dispatch.Broken)
 		return failed
+	case x.begun && answer.Status >= http.StatusMultipleChoices:
+		seen.Cause = "the stream can't go on here"
+		h.fleet.Ended(d.ID, dispatch.Failed)
+		return cut
 	case answer.Status >= http.StatusInternalServerError && x.route.Idempotent() && len(x.tried)+1 < x.route.MaxUpstreams:
 		h.fleet.Ended(d.ID, dispatch.Failed)
 		return failed
@@ -238,6 +250,7 @@
 		Body:     x.body,
 		ID:       x.call.ID,
 		Deadline: x.deadline,
+		Patience: x.patience(time.Now()),
 	}
 }
 
@@ -259,6 +272,9 @@
 	case errors.Is(err, upstream.ErrUnreachable):
 		h.fleet.Ended(id, dispatch.Unreachable)
 		return notRun
+	case errors.Is(err, upstream.ErrSilent):
+		h.fleet.Ended(id, dispatch.Silent)
+		return failed
 	case !time.Now().Before(x.deadline):
 		h.fleet.Ended(id, dispatch.Silent)
 		return late
--- a/gateway/internal/upstream/client.go
+++ b/gateway/internal/upstream/client.go
@@ -46,6 +46,9 @@
 	// ErrBroken tells that the connection broke after the request was sent, at
 	// least in part.
 	ErrBroken = merry.Sentinel("the connection to the upstream broke")
+	// ErrSilent tells that the upstream has the request and sent nothing for so long
+	// that the exchange was given up.
+	ErrSilent = merry.Sentinel("the upstream sent nothing for too long")
 	// ErrStray tells that answers to other requests came instead.
 	ErrStray = merry.Sentinel("answers to other requests came")
 )
@@ -61,6 +64,19 @@
 	ID string
 	// Deadline bounds the exchange.
 	Deadline time.Time
+	Patience Patience
+}
+
+// Patience tells when an exchange that brings nothing is given up before its
+// deadline.
+type Patience struct {
+	// Begin is until when the answer must begin; zero is the deadline.
+	Begin time.Time
+	// Pause bounds the time between two parts of the answer.
+	Pause time.Duration
+	// GiveUp is asked when nothing came in time; false waits on until the deadline.
+	// Nil means that nothing is given up.
+	GiveUp func() bool
 }
 
 // Client keeps connections to upstreams.
--- a/gateway/internal/upstream/exchange.go
+++ b/gateway/internal/upstream/exchange.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -21,6 +23,9 @@
 
 	client  *Client
 	conn    *conn
+	ctx     context.Context
+	request Request
+	begun   bool // part of the body has arrived
 	body    io.ReadCloser
 	framed  bool       // the body's end shows without the connection's end
 	written chan error // of a request that is still being written, or nil
@@ -48,12 +53,17 @@
 		return nil, merry.Prependf(ErrUnreachable, "%v", err)
 	}
 	a := &Answer{
-		client: c,
-		conn:   k,
-		stop:   context.AfterFunc(ctx, func() { _ = k.SetDeadline(longAgo) }),
+		client:  c,
+		conn:    k,
+		ctx:     ctx,
+		request: r,
+		stop:    context.AfterFunc(ctx, func() { _ = k.SetDeadline(longAgo) }),
 	}
 	if err := a.exchange(r); err != nil {
 		a.abandon()
+		if errors.Is(err, ErrSilent) {
+			return nil, err
+		}
 		return nil, merry.Prependf(ErrBroken, "%v", err)
 	}
 	return a, nil
@@ -71,6 +81,9 @@
 		go func() { a.written <- writeAll(a.conn, head, r.Body) }()
 	}
 	for range maxStrays + 1 {
+		if err := a.wait(r.Patience.Begin); err != nil {
+			return err
+		}
 		response, err := a.readHead(r.Method)
 		if err != nil {
 			return err
@@ -86,6 +99,39 @@
 	return ErrStray
 }
 
+// wait waits until something has arrived. It gives the exchange up if that takes
+// until a time that lies before the deadline, and something else can be done about
+// the request.
+func (a *Answer) wait(until time.Time) error {
+	p := a.request.Patience
+	if p.GiveUp == nil || !until.Before(a.request.Deadline) || a.conn.reader.Buffered() > 0 {
+		return nil
+	}
+	if err := a.waitUntil(until); err != nil {
+		return err
+	}
+	_, err := a.conn.reader.Peek(1)
+	if err == nil || errors.Is(err, io.EOF) {
+		return nil
+	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) || a.ctx.Err() != nil {
+		return err // after a reset, another read would find an end like any other
+	}
+	if p.GiveUp() {
+		return ErrSilent
+	}
+	a.request.Patience.GiveUp = nil
+	return a.waitUntil(a.request.Deadline)
+}
+
+// waitUntil bounds the following reads, unless the context has ended them.
+func (a *Answer) waitUntil(t time.Time) error {
+	if err := a.conn.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return a.ctx.Err()
+}
+
 func writeAll(w net.Conn, head, body []byte) error {
 	buffers := net.Buffers{head, body}
 	_, err := buffers.WriteTo(w)
@@ -138,7 +184,15 @@
 
 // Read reads the body. An error other than io.EOF tells that it is not complete.
 func (a *Answer) Read(p []byte) (int, error) {
+	until := a.request.Patience.Begin
+	if a.begun && a.request.Patience.GiveUp != nil {
+		until = time.Now().Add(a.request.Patience.Pause)
+	}
+	if err := a.wait(until); err != nil {
+		return 0, err
+	}
 	n, err := a.body.Read(p)
+	a.begun = a.begun || n > 0
 	if err == io.EOF {
 		a.ended = true
 	}
