--- a/baobabctl/main.go
+++ b/baobabctl/main.go
@@ -1,6 +1,7 @@
 // Program baobabctl is the operators' tool: it applies, reads, watches and
 // deletes resources, shows the fleet's status, changes the controllers'
-// membership, takes backups and makes credentials.
+// membership, takes backups, makes credentials and explains from logs what became of
+// a request.
 package main
 
 import (
@@ -19,6 +20,7 @@
 	Member  memberCommand       `cmd:"" help:"Change the membership of the controllers."`
 	Backup  backupCommand       `cmd:"" help:"Write the fleet's state to a file."`
 	Keys    keysCommand         `cmd:"" help:"Make certificates and callers' keys."`
+	Explain explainCommand      `cmd:"" help:"Show from logs what became of a request, and why."`
 }
 
 func main() {
--- /dev/null
+++ b/fleet/trace/explain_test.go
@@ -0,0 +1,112 @@
+package trace
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"baobabpaddle/fleet/telemetry"
+)
+
+// played logs some requests of two gateways, as a collector may print them.
+func played(t *testing.T) []Line {
+	t.Helper()
+	var out bytes.Buffer
+	first := telemetry.NewLogger(&out, "gateway a")
+	l := New(first)
+	first.Info("gateway started")
+
+	r := l.Request("refused", start)
+	r.Failed(start, Refused{
+		About:  about,
+		Status: 429,
+		Reason: "over_share",
+		Inputs: decided,
+	})
+
+	r = l.Request("cut", start)
+	r.Step(start, Placed{
+		About:    about,
+		Upstream: "i-1",
+		Inputs:   decided,
+	})
+	r.Step(start.Add(time.Second), Tried{
+		Upstream:  "i-1",
+		Outcome:   "cut",
+		Status:    200,
+		Cause:     "connection reset",
+		LastEvent: "12",
+	})
+	r.Step(start.Add(time.Second), NotRetried{
+		Reason: "attempts",
+	})
+	r.Failed(start.Add(time.Second), Ended{
+		Status:  200,
+		Outcome: "cut",
+		Tries:   1,
+	})
+
+	r = l.Request("killed", start.Add(2*time.Second))
+	r.Step(start.Add(2*time.Second), Placed{
+		About:    about,
+		Upstream: "i-2",
+	})
+	first.Info("gateway started")
+	var prefixed bytes.Buffer
+	for line := range strings.Lines(out.String()) {
+		prefixed.WriteString("   1.25 host-a/gateway " + line)
+	}
+	prefixed.WriteString("a line of something else\n{\"time\":\"cut off")
+	lines, err := Read(&prefixed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lines
+}
+
+func TestExplain(t *testing.T) {
+	is := is.New(t)
+	lines := played(t)
+	is.Equal(len(lines), 8)
+
+	e := Explain(lines, "refused")
+	is.Equal(e.Status, 429)
+	is.Equal(e.Missing, "")
+	is.Equal(e.Reason, "refused with 429: team north had 41000 tokens of the 40000 that it is owed within the window, and the best of 4 upstreams was busy for 120 ms")
+
+	e = Explain(lines, "cut")
+	is.Equal(e.Outcome, "cut")
+	is.Equal(len(e.Lines), 4)
+	is.Equal(e.Reason, `the stream of upstream i-1 broke after event "12" (connection reset); it was not sent elsewhere: attempts`)
+
+	e = Explain(lines, "killed")
+	is.Equal(e.Status, 0)
+	is.True(strings.Contains(e.Reason, "at an upstream"))
+	is.True(strings.Contains(e.Missing, "gateway a started anew"))
+
+	e = Explain(lines, "unknown")
+	is.Equal(len(e.Lines), 0)
+	is.True(strings.Contains(e.Missing, "gateway a"))
+}
+
+// FuzzRead reads any bytes without failing, and every line it returns is one of
+// ours.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte("  1.2 a/b {\"time\":\"2026-09-19T06:40:20.1Z\",\"msg\":\"m\",\"request\":\"r\"}\n"))
+	f.Add([]byte("{\"time\":\""))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		lines, err := Read(bytes.NewReader(data))
+		if err != nil {
+			return
+		}
+		for _, l := range lines {
+			if l.Message == "" || l.Time.IsZero() && l.Fields == nil {
+				t.Fatalf("%+v is no line", l)
+			}
+			Explain(lines, l.Request)
+		}
+	})
+}
