--- a/bench/pages/logs_test.go
+++ b/bench/pages/logs_test.go
@@ -14,13 +14,13 @@
 	"gateway/serve.go", "gateway/internal/serve", "gateway/internal/controller",
 	"controller/serve.go", "controller/internal/gateway", "controller/internal/peer",
 	"controller/internal/replica", "controller/internal/operator/configuration.go",
-	"fleet/trace", "fleet/telemetry/writer.go",
+	"fleet/trace", "fleet/telemetry/writer.go", "fleet/program/pause.go",
 }
 
 // TestLogLines compares the messages in the code with docs/LOGS.md, both ways.
 func TestLogLines(t *testing.T) {
 	page := read(t, "docs", "LOGS.md")
-	message := regexp.MustCompile(`(?:log\.(?:Info|Warn|Error)\(|logged\(|Msg[A-Za-z]+ += )"([^"]+)"|\\"msg\\":\\"([^"\\]+)|"msg":"([^"]+)"`)
+	message := regexp.MustCompile(`(?:log\.(?:Info|Warn|Error)\(|logged\(|[Mm]sg[A-Za-z]+ += )"([^"]+)"|\\"msg\\":\\"([^"\\]+)|"msg":"([^"]+)"`)
 	var code []string
 	for _, place := range served {
 		for _, file := range goFiles(t, place) {
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -91,6 +91,7 @@
 	api := operator.NewConfigurations(p.member, p.forward, p.peers, s.ToleratedHosts, p.log)
 	outer := program.NewServer(api.Handler())
 	go outer.Serve(operators)
+	go program.WatchPauses(ctx, log)
 	go p.peers.Run(ctx)
 	go p.hub.Run(ctx)
 	go p.readList(ctx)
--- a/fleet/trace/explain.go
+++ b/fleet/trace/explain.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -21,6 +23,12 @@
 	Missing string
 }
 
+// Messages of lines that are not about requests.
+const (
+	msgStarted = "gateway started"
+	msgPaused  = "the process stood still"
+)
+
 // around is how far before and after a request lines about what it depended on are
 // of interest.
 const around = 5 * time.Second
@@ -36,7 +44,7 @@
 	}
 	if len(own) == 0 {
 		e.Reason = "no process logged this request: it reached none, or it was answered well and left out, or its process was killed before its lines were written"
-		e.Missing = killed(lines)
+		e.Missing = lost(lines)
 		return e
 	}
 	slices.SortStableFunc(own, func(a, b Line) int { return a.Time.Compare(b.Time) })
@@ -135,7 +143,7 @@
 			if upstreams[l.Text(KeyUpstream)] {
 				out = append(out, l)
 			}
-		case "linked to the leader", "link to the leader lost", "gateway started", "gateway drains", "load":
+		case "linked to the leader", "link to the leader lost", msgStarted, "gateway drains", "load", msgPaused:
 			if l.Process == own[0].Process {
 				out = append(out, l)
 			}
@@ -147,33 +155,40 @@
 // startedAfter returns when a line's process started next; zero when it did not.
 func startedAfter(lines []Line, l Line) time.Time {
 	for _, other := range lines {
-		if other.Process == l.Process && other.Message == "gateway started" && other.Time.After(l.Time) {
+		if other.Process == l.Process && other.Message == msgStarted && other.Time.After(l.Time) {
 			return other.Time
 		}
 	}
 	return time.Time{}
 }
 
-// killed names the gateways that started more often than they stopped in good order.
-func killed(lines []Line) string {
+// lost names the gateways that may have had a request without a line: those that
+// were killed, and those that stood still.
+func lost(lines []Line) string {
 	starts := make(map[string]int)
+	paused := make(map[string]bool)
 	for _, l := range lines {
 		switch l.Message {
-		case "gateway started":
+		case msgStarted:
 			starts[l.Process]++
 		case "gateway stopped":
 			starts[l.Process]--
+		case msgPaused:
+			paused[l.Process] = true
 		}
 	}
-	var names []string
+	killed := make(map[string]bool)
 	for name, n := range starts {
 		if n > 1 {
-			names = append(names, name)
+			killed[name] = true
 		}
 	}
-	if len(names) == 0 {
-		return ""
+	var text []string
+	if len(killed) > 0 {
+		text = append(text, fmt.Sprintf("these were killed and lost their last lines: %q", slices.Sorted(maps.Keys(killed))))
+	}
+	if len(paused) > 0 {
+		text = append(text, fmt.Sprintf("these stood still for a while: %q", slices.Sorted(maps.Keys(paused))))
 	}
-	slices.Sort(names)
-	return fmt.Sprintf("these were killed and lost their last lines: %q", names)
+	return strings.Join(text, "; ")
 }
--- a/fleet/trace/explain_test.go
+++ b/fleet/trace/explain_test.go
@@ -55,6 +55,7 @@
 		Upstream: "i-2",
 	})
 	first.Info("gateway started")
+	telemetry.NewLogger(&out, "gateway b").Warn("the process stood still", "paused_ms", 3000)
 	var prefixed bytes.Buffer
 	for line := range strings.Lines(out.String()) {
 		prefixed.WriteString("   1.25 host-a/gateway " + line)
@@ -70,7 +71,7 @@
 func TestExplain(t *testing.T) {
 	is := is.New(t)
 	lines := played(t)
-	is.Equal(len(lines), 8)
+	is.Equal(len(lines), 9)
 
 	e := Explain(lines, "refused")
 	is.Equal(e.Status, 429)
@@ -89,7 +90,8 @@
 
 	e = Explain(lines, "unknown")
 	is.Equal(len(e.Lines), 0)
-	is.True(strings.Contains(e.Missing, "gateway a"))
+	is.True(strings.Contains(e.Missing, `killed and lost their last lines: ["gateway a"]`))
+	is.True(strings.Contains(e.Missing, `stood still for a while: ["gateway b"]`))
 }
 
 // FuzzRead reads any bytes without failing, and every line it returns is one of
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -80,6 +80,7 @@
 		return err
 	}
 	p.metrics.CountLog(out)
+	go program.WatchPauses(life, log)
 	go p.link.Run(life)
 	go p.prune(life)
 	server := program.NewServer(p.handler)
