hub: a new leader without the platform's list refuses nothing

The new leader read the platform's list with its next tick, up to 0.7 s later; until then it knew no upstream, and it forgot what gateways told of requests at upstreams that it did not know.

Ruled out: an empty list of the platform (gateways had all 15 upstreams).

Change: a leader without a list leaves questions unanswered, so that gateways decide by their own; it asks for the list as soon as a gateway links; requests at unknown upstreams are kept until the list names them. Tests failed first.

--- a/controller/internal/gateway/hub.go
+++ b/controller/internal/gateway/hub.go
@@ -24,6 +24,9 @@
 	eventQueue = 4096
 	// leadInterval is how often the lead is checked.
 	leadInterval = 100 * time.Millisecond
+	// wantInterval is the pause before the platform's list is asked for again while
+	// there is none.
+	wantInterval = 150 * time.Millisecond
 	// welcomeTimeout bounds the confirmation that this controller leads.
 	welcomeTimeout = time.Second
 )
@@ -72,6 +75,9 @@
 	events chan event
 	pings  chan ping
 	linked atomic.Int64
+	wanted chan struct{}
+	// wantAfter is when the list may be asked for again.
+	wantAfter time.Time
 
 	// What follows belongs to the control goroutine.
 	core      *dispatch.Core
@@ -91,6 +97,7 @@
 		events:    make(chan event, eventQueue),
 		pings:     make(chan ping, eventQueue),
 		measures:  newMeasures(metrics),
+		wanted:    make(chan struct{}, 1),
 	}
 	h.reset()
 	return h
@@ -185,6 +192,7 @@
 	}
 	h.conns[c.name] = c
 	h.linked.Store(int64(len(h.conns)))
+	h.wantList(time.Now())
 	frame := wire.Serve{
 		Welcome: &wire.Welcome{
 			Leads:       true,
@@ -244,6 +252,12 @@
 		key.ID = e.ID
 		h.core.Ended(now, key, e.Ending)
 	}
+	if h.upstreams == nil {
+		// Without the list everything would be refused; unanswered, the gateway
+		// decides by the list that it has.
+		frame.Places = nil
+		h.wantList(now)
+	}
 	for _, r := range frame.Places {
 		h.replies[c] = append(h.replies[c], h.core.Place(now, c.name, r))
 	}
@@ -258,6 +272,21 @@
 	}
 }
 
+// wantList asks for the platform's list unless there is one.
+func (h *Hub) wantList(now time.Time) {
+	if h.upstreams != nil || now.Before(h.wantAfter) {
+		return
+	}
+	h.wantAfter = now.Add(wantInterval)
+	select {
+	case h.wanted <- struct{}{}:
+	default: // asked for already
+	}
+}
+
+// ListWanted receives when the platform's list is needed at once.
+func (h *Hub) ListWanted() <-chan struct{} { return h.wanted }
+
 func (h *Hub) setUpstreams(list []dispatch.Upstream) {
 	if h.upstreams != nil && slices.Equal(list, h.upstreams) {
 		return
--- /dev/null
+++ b/controller/internal/gateway/hub_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"baobabpaddle/fleet/dispatch"
+	"baobabpaddle/fleet/telemetry"
+	"baobabpaddle/fleet/wire"
+)
+
+// TestNewLeaderKnowsNoUpstreams links a gateway to a leader that has not read the
+// platform's list yet, as after each change of the leader. It must not refuse what
+// the gateway can place by itself, and must not forget what is at upstreams.
+func TestNewLeaderKnowsNoUpstreams(t *testing.T) {
+	is := is.New(t)
+	h := New(nil, nil, telemetry.NewMetrics(), slog.New(slog.DiscardHandler))
+	c := &conn{
+		name: "a",
+	}
+	h.receive(c, wire.Serve{
+		Sent: []wire.Sent{{
+			ID:       1,
+			Upstream: "u1",
+		}},
+		Places: []dispatch.Request{{
+			ID:      2,
+			Service: "desk",
+		}},
+	})
+	is.Equal(len(h.replies[c]), 0) // the gateway decides by itself
+
+	h.setUpstreams([]dispatch.Upstream{
+		{
+			ID:      "u1",
+			Service: "desk",
+			Address: "10.0.0.1:1",
+			Slots:   4,
+		},
+		{
+			ID:      "u2",
+			Service: "desk",
+			Address: "10.0.0.2:1",
+			Slots:   4,
+		},
+	})
+	h.receive(c, wire.Serve{
+		Places: []dispatch.Request{{
+			ID:      3,
+			Service: "desk",
+		}},
+	})
+	is.Equal(len(h.replies[c]), 1)
+	is.Equal(h.replies[c][0].Upstream, "u2") // u1 still has the first request
+}
+
+// TestListIsWanted asks for the platform's list while there is none, not too often.
+func TestListIsWanted(t *testing.T) {
+	is := is.New(t)
+	h := New(nil, nil, telemetry.NewMetrics(), slog.New(slog.DiscardHandler))
+	now := time.Unix(1000, 0)
+	h.wantList(now)
+	select {
+	case <-h.ListWanted():
+	case <-time.After(time.Second):
+		is.Fail() // no list is asked for
+	}
+	h.wantList(now.Add(wantInterval - 1))
+	is.Equal(len(h.ListWanted()), 0) // asked for a moment ago
+	h.wantList(now.Add(wantInterval))
+	is.Equal(len(h.ListWanted()), 1)
+	<-h.ListWanted()
+	h.setUpstreams([]dispatch.Upstream{})
+	h.wantList(now.Add(time.Minute))
+	select {
+	case <-h.ListWanted():
+		is.Fail() // there is one already
+	default:
+	}
+}
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -186,6 +186,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-p.hub.ListWanted():
 		}
 	}
 }
--- a/fleet/dispatch/placed.go
+++ b/fleet/dispatch/placed.go
@@ -32,7 +32,10 @@
 func (c *Core) Sent(gateway string, id uint64, upstream string, prompt Prompt, begun bool) {
 	e := c.engines[upstream]
 	if e == nil {
-		return
+		// The list that names it may come later.
+		e = &engine{}
+		e.ID = upstream
+		c.engines[upstream] = e
 	}
 	unread := 0.0
 	if !begun && prompt.Tokens > 0 {
@@ -111,16 +114,16 @@
 	e.failures = max(e.failures, failuresToSuspend)
 	span := min(firstSuspension<<min(e.failures-failuresToSuspend, 8), longestSuspension)
 	e.failures++
-	if until := now.Add(span); until.After(e.suspendedUntil) {
-		e.suspendedUntil = until
-		c.changes = append(c.changes, Change{
-			Upstream: e.ID,
-			Service:  e.Service,
-			Until:    until,
-			Failures: e.failures,
-			Cause:    ending,
-		})
+	if now.Add(span).After(e.suspendedUntil) {
+		e.suspendedUntil = now.Add(span)
 	}
+	c.changes = append(c.changes, Change{
+		Upstream: e.ID,
+		Service:  e.Service,
+		Until:    e.suspendedUntil,
+		Failures: e.failures,
+		Cause:    ending,
+	})
 }
 
 // Change tells that an upstream gets no requests for a while, or works again.
