dispatch: failures during a suspension are part of the one that caused it

Change: what fails while its upstream is suspended changes nothing. The test, a crash with 24 requests, failed first.

--- a/fleet/dispatch/core_test.go
+++ b/fleet/dispatch/core_test.go
@@ -43,3 +43,37 @@
 		is.Equal(d.Upstream, "b")
 	}
 }
+
+// TestCrashWithManyRequests has an upstream break off all that it runs at once, as
+// in a crash, and come back soon: that is one failure, so it is tried again after
+// the first suspension. If it is still down, the suspensions grow.
+func TestCrashWithManyRequests(t *testing.T) {
+	is := is.New(t)
+	c := newCore(upstreamAt("a"))
+	const running = 24
+	for id := range uint64(running) {
+		c.Sent("gateway", id, "a", Prompt{}, true)
+	}
+	for id := range uint64(running) {
+		c.Ended(begin, Key{
+			Gateway: "gateway",
+			ID:      id,
+		}, Broken)
+	}
+	ask := func(id uint64, at time.Time) string {
+		return c.Place(at, "gateway", Request{
+			ID:         id,
+			Service:    "desk",
+			Repeatable: true,
+		}).Upstream
+	}
+	is.Equal(ask(100, begin.Add(firstSuspension-1)), "")
+	is.Equal(ask(101, begin.Add(firstSuspension)), "a")
+	at := begin.Add(firstSuspension)
+	c.Ended(at, Key{
+		Gateway: "gateway",
+		ID:      101,
+	}, Unreachable)
+	is.Equal(ask(102, at.Add(2*firstSuspension-1)), "")
+	is.Equal(ask(103, at.Add(2*firstSuspension)), "a")
+}
--- a/fleet/dispatch/placed.go
+++ b/fleet/dispatch/placed.go
@@ -101,22 +101,26 @@
 	case Unreachable, Gone:
 		c.suspend(now, e, ending)
 	case NotRun, Broken, Failed, Silent:
-		e.failures++
+		if !now.Before(e.suspendedUntil) {
+			e.failures++
+		}
 		if e.failures >= failuresToSuspend || e.probing {
 			c.suspend(now, e, ending)
 		}
 	}
 }
 
-// suspend keeps requests from an upstream for a while.
+// suspend keeps requests from an upstream for a while. What was sent before a
+// suspension and fails during it is part of the same failure.
 func (c *Core) suspend(now time.Time, e *engine, ending Ending) {
+	if now.Before(e.suspendedUntil) {
+		return
+	}
 	e.probing = false
 	e.failures = max(e.failures, failuresToSuspend)
 	span := min(firstSuspension<<min(e.failures-failuresToSuspend, 8), longestSuspension)
 	e.failures++
-	if now.Add(span).After(e.suspendedUntil) {
-		e.suspendedUntil = now.Add(span)
-	}
+	e.suspendedUntil = now.Add(span)
 	c.changes = append(c.changes, Change{
 		Upstream: e.ID,
 		Service:  e.Service,
