--- a/baobabctl/client.go
+++ b/baobabctl/client.go
@@ -38,7 +38,7 @@
 
 func (c *connection) client() (*client, error) {
 	var s Settings
-	if err := settings.Load(c.Settings, &s); err != nil {
+	if _, err := settings.Load(c.Settings, &s); err != nil {
 		return nil, err
 	}
 	proof, err := credential.Load(s.Credential, credential.Peer{
--- /dev/null
+++ b/bench/internal/soak/check.go
@@ -0,0 +1,145 @@
+package soak
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Harm tells when a fault touched a gateway, or the way from it to an upstream, so
+// that a ready answer may rightly be lost.
+type Harm interface {
+	Gateway(index int, from, to time.Time) bool
+	Upstream(id string, from, to time.Time) bool
+}
+
+// lateRun is how long after a refusal an upstream may still be found to run what was
+// refused.
+const lateRun = 2 * time.Second
+
+// Check judges attempts that have ended; with final, also those that ended a moment
+// ago.
+func (l *Ledger) Check(harm Harm, final bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for id := range l.open {
+		a := l.attempts[id]
+		if a.Done.IsZero() || (!final && now.Sub(a.Done) < lateRun) {
+			continue
+		}
+		delete(l.open, id)
+		l.judge(a, harm)
+	}
+}
+
+// judge checks one attempt; the lock is held.
+func (l *Ledger) judge(a *Attempt, harm Harm) {
+	refused := a.Status == 429 || a.Status == 503 || a.Status == 408 || a.Status == 421
+	if refused && len(a.Runs) > 0 && !a.Kind.repeatable() {
+		l.breaks("promise", "%s %s was answered %d and ran at %s", a.Kind, a.ID, a.Status, a.Runs[0].Upstream)
+	}
+	if a.Status >= 300 || a.Status == 0 || !a.Whole {
+		l.judgeLost(a, harm)
+	}
+	if a.Status != 200 {
+		return
+	}
+	if len(a.Runs) == 0 {
+		l.breaks("answer", "%s %s was answered 200 and never ran", a.Kind, a.ID)
+		return
+	}
+	if a.Kind.stream() {
+		l.judgeStream(a)
+		return
+	}
+	if !a.Whole {
+		return
+	}
+	for _, r := range a.Runs {
+		if r.Whole && r.Body == a.Body {
+			return
+		}
+	}
+	l.breaks("answer", "%s %s got %q as a whole answer, which is that of no run", a.Kind, a.ID, a.Body)
+}
+
+// judgeLost finds answers that were lost between an upstream and a caller though no
+// fault touched the way: those that were ready, and those that the gateway broke off.
+func (l *Ledger) judgeLost(a *Attempt, harm Harm) {
+	if len(a.Runs) == 0 || a.Left {
+		return
+	}
+	last := a.Runs[len(a.Runs)-1]
+	ready := last.Whole && last.End.Before(a.Done)
+	brokenOff := a.Status == 0 || (a.Status < 300 && !a.Whole)
+	if !ready && !brokenOff {
+		return
+	}
+	if harm.Gateway(a.Gateway, a.Sent, a.Done) {
+		return
+	}
+	for _, r := range a.Runs {
+		if harm.Upstream(r.Upstream, r.Start, a.Done) {
+			return
+		}
+	}
+	l.breaks("lost", "%s %s at gateway %d: ran at %s, whole %t there; the caller got status %d, whole %t (%s) at %s",
+		a.Kind, a.ID, a.Gateway+1, last.Upstream, last.Whole, a.Status, a.Whole, a.Err, a.Done.Format("15:04:05.000"))
+}
+
+// judgeStream checks the events that a caller got: in order from the first, of one run
+// or of runs that go on where the one before ended, and all of them if it looks whole.
+func (l *Ledger) judgeStream(a *Attempt) {
+	next, run := 1, -1
+	for event := range strings.SplitSeq(a.Body, "\n\n") {
+		if event == "" {
+			continue
+		}
+		number, of, ok := parseEvent(event, a.ID)
+		if !ok {
+			if a.Whole {
+				l.breaks("order", "%s %s has the event %q", a.Kind, a.ID, event)
+			}
+			return
+		}
+		if number != next {
+			l.breaks("order", "%s %s has event %d where %d is due", a.Kind, a.ID, number, next)
+			return
+		}
+		if of != run {
+			if run >= 0 && (a.Kind != Chat || of >= len(a.Runs) || a.Runs[of].From != number-1) {
+				l.breaks("order", "%s %s: event %d is of run %d after run %d", a.Kind, a.ID, number, of, run)
+				return
+			}
+			run = of
+		}
+		next++
+	}
+	if a.Whole && next != a.Events+1 {
+		l.breaks("order", "%s %s looks whole after event %d of %d", a.Kind, a.ID, next-1, a.Events)
+	}
+}
+
+// parseEvent reads "id: N\ndata: ATTEMPT RUN".
+func parseEvent(event, id string) (number, run int, ok bool) {
+	first, second, _ := strings.Cut(event, "\n")
+	number, err := strconv.Atoi(strings.TrimPrefix(first, "id: "))
+	if err != nil {
+		return 0, 0, false
+	}
+	attempt, of, _ := strings.Cut(strings.TrimPrefix(second, "data: "), " ")
+	run, err = strconv.Atoi(of)
+	return number, run, err == nil && attempt == id
+}
+
+// Retries returns how many attempts were sent, and how many runs beyond the first
+// there were.
+func (l *Ledger) Retries() (attempts, again int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range l.attempts {
+		again += max(len(a.Runs)-1, 0)
+	}
+	return len(l.attempts), again
+}
--- /dev/null
+++ b/bench/internal/soak/fleet.go
@@ -0,0 +1,250 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Ports of the fleet, the same on all hosts as on the platform. Hosts differ by their
+// loopback addresses.
+const (
+	peerPort     = 7400
+	operatorPort = 7401
+	callerPort   = 7402
+	readyPort    = 7403
+	listPort     = 7404
+	upstreamPort = 7500
+	relayPort    = 7600
+)
+
+// Bounds that the fleet is told, and that it is checked against.
+const (
+	graceSeconds = 6
+	revokeTime   = 5 * time.Second
+	retryRatio   = 0.2
+	retrySlack   = 50
+	retryWindow  = 10 * time.Second
+)
+
+// process is one program, started again and again.
+type process struct {
+	name     string
+	program  string
+	listen   string // where callers or operators reach it
+	settings map[string]any
+	folder   string // of its data; empty for gateways
+	bin      string
+	work     string
+
+	mu      sync.Mutex // held while a fault is at work on it
+	command *exec.Cmd
+	done    chan struct{}
+	started time.Time
+	ending  bool // it was told to end, or killed
+	harms   spans
+}
+
+// start runs the program. The settings file is written anew.
+func (p *process) start() error {
+	if err := p.write(); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(p.work, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return merry.Prepend(err, "log file")
+	}
+	defer log.Close()
+	p.command = exec.Command(filepath.Join(p.bin, p.program), "serve", "--settings", p.settingsPath())
+	p.command.Stdout = log
+	p.command.Stderr = log
+	if err := p.command.Start(); err != nil {
+		return merry.Prepend(err, p.name)
+	}
+	p.started = time.Now()
+	p.ending = false
+	done := make(chan struct{})
+	p.done = done
+	command := p.command
+	go func() {
+		_ = command.Wait() // how it ended stands in its log
+		close(done)
+	}()
+	return nil
+}
+
+func (p *process) settingsPath() string { return filepath.Join(p.work, p.name+".json") }
+
+// write replaces the settings file.
+func (p *process) write() error {
+	data, err := json.MarshalIndent(p.settings, "", "  ")
+	if err != nil {
+		return merry.Prepend(err, "settings")
+	}
+	temporary := p.settingsPath() + ".new"
+	if err := os.WriteFile(temporary, data, 0o600); err != nil {
+		return merry.Prepend(err, "settings")
+	}
+	return merry.Prepend(os.Rename(temporary, p.settingsPath()), "settings")
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.command.Process.Signal(s) }
+
+// kill ends the process at once.
+func (p *process) kill() {
+	p.ending = true
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// stop asks the process to end, and kills it after the grace period, as the platform
+// does.
+func (p *process) stop() {
+	p.ending = true
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+	case <-time.After(graceSeconds * time.Second):
+		p.kill()
+	}
+}
+
+// endedAlone reports whether the process ended though nobody asked it to.
+func (p *process) endedAlone() bool {
+	if p.ending {
+		return false
+	}
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// fleet is all processes with the relays before the controllers.
+type fleet struct {
+	controllers []*process
+	gateways    []*process
+	relays      []*Relay
+}
+
+// address returns the loopback address of a host.
+func (s *Soak) address(group, host int) string {
+	return fmt.Sprintf("127.%d.%d.%d", s.network, group, host)
+}
+
+// Groups of loopback addresses.
+const (
+	groupController = 1 + iota
+	groupBehind     // where controllers listen, behind their relays
+	groupGateway
+	groupPlatform
+)
+
+// startFleet starts all processes.
+func (s *Soak) startFleet() error {
+	seeds := make([]string, 0, 3)
+	for i := range min(3, s.options.Controllers) {
+		seeds = append(seeds, fmt.Sprintf("%s:%d", s.address(groupController, i+1), operatorPort))
+	}
+	for i := range s.options.Controllers {
+		host := s.address(groupController, i+1)
+		behind := s.address(groupBehind, i+1)
+		relay, err := NewRelay(fmt.Sprintf("%s:%d", host, peerPort), fmt.Sprintf("%s:%d", behind, peerPort))
+		if err != nil {
+			return merry.Prepend(err, "relay")
+		}
+		s.fleet.relays = append(s.fleet.relays, relay)
+		name := fmt.Sprintf("controller-%d", i+1)
+		folder := filepath.Join(s.options.Work, name+".data")
+		if err := os.MkdirAll(folder, 0o700); err != nil {
+			return merry.Prepend(err, "data folder")
+		}
+		s.fleet.controllers = append(s.fleet.controllers, s.process(name, "controller", fmt.Sprintf("%s:%d", host, operatorPort), folder, map[string]any{
+			"name":            name,
+			"zone":            "zone-a",
+			"address":         host,
+			"listen_address":  behind,
+			"port":            peerPort,
+			"operator_listen": fmt.Sprintf("%s:%d", host, operatorPort),
+			"data_folder":     folder,
+			"seeds":           seeds,
+			"first_start":     true,
+			"tolerated_hosts": 1,
+			"list_address":    fmt.Sprintf("%s:%d", s.address(groupPlatform, 1), listPort),
+			"credential":      map[string]any{"private_network": true},
+		}))
+	}
+	for i := range s.options.Gateways {
+		host := s.address(groupGateway, i+1)
+		name := fmt.Sprintf("gateway-%d", i+1)
+		s.fleet.gateways = append(s.fleet.gateways, s.process(name, "gateway", fmt.Sprintf("%s:%d", host, callerPort), "", map[string]any{
+			"name":                 name,
+			"zone":                 "zone-a",
+			"listen":               fmt.Sprintf("%s:%d", host, callerPort),
+			"ready_listen":         fmt.Sprintf("%s:%d", host, readyPort),
+			"seeds":                seeds,
+			"port":                 peerPort,
+			"grace_seconds":        graceSeconds,
+			"revoke_ms":            revokeTime.Milliseconds(),
+			"retry_ratio":          retryRatio,
+			"retry_slack":          retrySlack,
+			"retry_window_seconds": retryWindow.Seconds(),
+			"credential":           map[string]any{"private_network": true},
+		}))
+	}
+	for _, p := range s.processes() {
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	for _, p := range s.fleet.controllers {
+		p.settings["first_start"] = false
+	}
+	return nil
+}
+
+func (s *Soak) process(name, program, listen, folder string, settings map[string]any) *process {
+	return &process{
+		name:     name,
+		program:  program,
+		listen:   listen,
+		settings: settings,
+		folder:   folder,
+		bin:      s.options.Bin,
+		work:     s.options.Work,
+	}
+}
+
+// processes returns all, controllers first.
+func (s *Soak) processes() []*process {
+	return append(append([]*process(nil), s.fleet.controllers...), s.fleet.gateways...)
+}
+
+// stopFleet ends all that was started.
+func (s *Soak) stopFleet() {
+	for _, p := range s.processes() {
+		if p.command != nil {
+			p.signal(syscall.SIGCONT)
+			p.kill()
+		}
+	}
+	for _, r := range s.fleet.relays {
+		r.Close()
+	}
+	if s.list != nil {
+		s.list.Close()
+	}
+	for _, u := range s.upstreams {
+		u.relay.Close()
+		u.stop()
+	}
+}
--- a/controller/main.go
+++ b/controller/main.go
@@ -28,6 +28,7 @@
 }
 
 func main() {
+	program.CatchHangups()
 	program.Run("controller", "Keeps the fleet's durable state.", &commandLine{})
 }
 
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -127,7 +127,7 @@
 		stats:    &link.Stats{},
 	}
 	p.peers = peer.NewPeers(membership.Controller{
-		Address:         s.listen(),
+		Address:         s.peerAddress(),
 		OperatorAddress: s.OperatorListen,
 		Disk:            s.DataFolder != "",
 		FirstStart:      s.FirstStart,
--- a/controller/serve_settings.go
+++ b/controller/serve_settings.go
@@ -19,6 +19,9 @@
 	Zone string `json:"zone"`
 	// Address is the IP address of the host.
 	Address string `json:"address"`
+	// ListenAddress is the IP address to listen on for the fleet's processes where it
+	// differs from the one by which they reach the host; empty is the same.
+	ListenAddress string `json:"listen_address,omitempty"`
 	// Port is where the fleet's processes reach controllers, on all hosts.
 	Port int `json:"port"`
 	// OperatorListen is the address for operators.
@@ -56,6 +59,9 @@
 	if _, err := netip.ParseAddr(s.Address); err != nil {
 		return merry.Errorf("address: %q is no IP address", s.Address)
 	}
+	if _, err := netip.ParseAddr(s.ListenAddress); s.ListenAddress != "" && err != nil {
+		return merry.Errorf("listen_address: %q is no IP address", s.ListenAddress)
+	}
 	return settings.FirstError(
 		settings.NotEmpty("name", s.Name),
 		settings.Between("port", s.Port, 1, maxPort),
@@ -70,8 +76,16 @@
 	)
 }
 
-// listen returns the own address for the fleet's processes.
-func (s *ServeSettings) listen() string { return s.Address + ":" + strconv.Itoa(s.Port) }
+// peerAddress returns where the fleet's processes reach this one.
+func (s *ServeSettings) peerAddress() string { return s.Address + ":" + strconv.Itoa(s.Port) }
+
+// listen returns the address to listen on for the fleet's processes.
+func (s *ServeSettings) listen() string {
+	if s.ListenAddress == "" {
+		return s.peerAddress()
+	}
+	return s.ListenAddress + ":" + strconv.Itoa(s.Port)
+}
 
 // peers returns the seeds' addresses for the fleet's processes.
 func (s *ServeSettings) peers() []string {
--- a/fleet/program/deploy.go
+++ b/fleet/program/deploy.go
@@ -15,6 +15,13 @@
 // without a signal.
 const rereadInterval = 2 * time.Second
 
+// hangups receives hangup signals from CatchHangups on.
+var hangups = make(chan os.Signal, 1)
+
+// CatchHangups must be the first call of programs that are deployed: a hangup signal
+// that comes before it ends the process, also while its settings are read.
+func CatchHangups() { signal.Notify(hangups, syscall.SIGHUP) }
+
 // DeploymentSettingsFlag is the flag of commands whose settings file may be
 // named by the platform.
 type DeploymentSettingsFlag struct {
@@ -35,22 +42,21 @@
 // nothing.
 func Deploy[T any, P checker[T]](path string, run func(ctx context.Context, s T, changes <-chan T) error) error {
 	var s T
-	if err := settings.Load(path, P(&s)); err != nil {
+	data, err := settings.Load(path, P(&s))
+	if err != nil {
 		return err
 	}
 	ctx, cancel := Signals()
 	defer cancel()
 	changes := make(chan T, 1)
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	go reread[T, P](ctx, path, hangup, changes)
+	go reread[T, P](ctx, path, data, hangups, changes)
 	return run(ctx, s, changes)
 }
 
-func reread[T any, P checker[T]](ctx context.Context, path string, hangup <-chan os.Signal, changes chan<- T) {
+// reread watches the file, whose content was last when it was read.
+func reread[T any, P checker[T]](ctx context.Context, path string, last []byte, hangup <-chan os.Signal, changes chan<- T) {
 	ticker := time.NewTicker(rereadInterval)
 	defer ticker.Stop()
-	last, _ := os.ReadFile(path) // read and checked a moment ago
 	for {
 		select {
 		case <-ctx.Done():
--- a/fleet/program/settings.go
+++ b/fleet/program/settings.go
@@ -21,7 +21,7 @@
 // Load reads and checks the settings that the flag names.
 func Load[T any, P checker[T]](f SettingsFlag) (T, error) {
 	var s T
-	err := settings.Load(f.Settings, P(&s))
+	_, err := settings.Load(f.Settings, P(&s))
 	return s, err
 }
 
--- a/fleet/settings/settings.go
+++ b/fleet/settings/settings.go
@@ -27,20 +27,20 @@
 	Check() error
 }
 
-// Load reads the file at path into v.
-func Load(path string, v Checker) error {
+// Load reads the file at path into v and returns its content.
+func Load(path string, v Checker) ([]byte, error) {
 	info, err := os.Stat(path)
 	if err != nil {
-		return merry.Prepend(err, "settings")
+		return nil, merry.Prepend(err, "settings")
 	}
 	if info.Size() > MaxFileBytes {
-		return merry.Prependf(ErrInvalid, "%s: over %d bytes", path, MaxFileBytes)
+		return nil, merry.Prependf(ErrInvalid, "%s: over %d bytes", path, MaxFileBytes)
 	}
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return merry.Prepend(err, "settings")
+		return nil, merry.Prepend(err, "settings")
 	}
-	return merry.Prepend(Parse(data, v), path)
+	return data, merry.Prepend(Parse(data, v), path)
 }
 
 // Parse reads JSON with comments into v and checks it.
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -14,5 +14,6 @@
 }
 
 func main() {
+	program.CatchHangups()
 	program.Run("gateway", "Takes callers' requests and brings them to upstreams.", &commandLine{})
 }
