Tell gateways what changed in the list of upstreams; forget lost controllers

Each change of the platform's list went to every gateway as the whole list, 3,000 upstreams to 300 gateways. Now only what changed is sent, with a hash of the result; a gateway whose list differs links anew and gets all of it, and one that links with the same list gets nothing.

Found on the way: a controller that was lost stayed known for good, since those that had not forgotten it yet told the others (TestLostControllerIsForgotten, failed first).

--- a/controller/internal/gateway/hub.go
+++ b/controller/internal/gateway/hub.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -48,6 +49,7 @@
 	*link.Conn[wire.Serve]
 	name    string
 	version uint64 // of the configuration that it was told last
+	sum     uint64 // of the list of upstreams that it had when it linked
 }
 
 // event is what happened, for the control goroutine; one of the fields is set.
@@ -83,7 +85,7 @@
 	core      *dispatch.Core
 	conns     map[string]*conn
 	document  state.Replace
-	upstreams []dispatch.Upstream
+	upstreams map[string]dispatch.Upstream // nil before the list was read
 	replies   map[*conn][]dispatch.Decision
 	measures  *measures
 }
@@ -199,10 +201,8 @@
 			Controllers: h.directory.Addresses(),
 		},
 	}
-	if h.upstreams != nil {
-		frame.Upstreams = &wire.Upstreams{
-			List: h.upstreams,
-		}
+	if h.upstreams != nil && wire.Sum(h.upstreams) != c.sum {
+		frame.Upstreams = wire.WholeList(h.upstreams)
 	}
 	h.send(c, frame)
 	h.refresh()
@@ -287,18 +287,26 @@
 // ListWanted receives when the platform's list is needed at once.
 func (h *Hub) ListWanted() <-chan struct{} { return h.wanted }
 
+// setUpstreams takes the platform's list and tells the gateways what changed.
 func (h *Hub) setUpstreams(list []dispatch.Upstream) {
-	if h.upstreams != nil && slices.Equal(list, h.upstreams) {
+	next := wire.ByID(list)
+	first := h.upstreams == nil
+	change := wire.Difference(h.upstreams, next)
+	if first {
+		change = wire.WholeList(next)
+	}
+	if change == nil {
 		return
 	}
-	h.log.Info("list of upstreams changed", "upstreams", len(list), "before", len(h.upstreams))
-	h.upstreams = list
-	h.core.SetUpstreams(list)
+	h.log.Info("list of upstreams changed", "upstreams", len(next), "before", len(h.upstreams))
+	h.upstreams = next
+	h.core.SetUpstreams(slices.Collect(maps.Values(next)))
 	for _, c := range h.conns {
+		if first && c.sum == change.Sum {
+			continue // it has this list from an earlier leader
+		}
 		h.send(c, wire.Serve{
-			Upstreams: &wire.Upstreams{
-				List: list,
-			},
+			Upstreams: change,
 		})
 	}
 }
@@ -422,6 +430,7 @@
 			Conn:    l,
 			name:    frame.Hello.Name,
 			version: frame.Hello.Version,
+			sum:     frame.Hello.Sum,
 		}
 		h.post(ctx, event{
 			opened: c,
--- a/fleet/membership/core.go
+++ b/fleet/membership/core.go
@@ -78,6 +78,7 @@
 	self    Controller
 	seeds   []string
 	known   map[string]acquaintance
+	lost    map[string]time.Time // when controllers were forgotten
 	founder string
 	group   Group
 	started time.Time
@@ -91,6 +92,7 @@
 		self:    self,
 		seeds:   slices.Clone(seeds),
 		known:   make(map[string]acquaintance),
+		lost:    make(map[string]time.Time),
 		started: now,
 		due:     now,
 	}
@@ -153,6 +155,11 @@
 	if _, ok := c.known[k.Address]; ok && !itself {
 		return
 	}
+	if itself {
+		delete(c.lost, k.Address)
+	} else if _, ok := c.lost[k.Address]; ok {
+		return // others have not forgotten it yet
+	}
 	c.known[k.Address] = acquaintance{
 		Controller: k,
 		heard:      now,
@@ -204,6 +211,12 @@
 	for address, k := range c.known {
 		if now.Sub(k.heard) > forgetAfter {
 			delete(c.known, address)
+			c.lost[address] = now
+		}
+	}
+	for address, at := range c.lost {
+		if now.Sub(at) > 2*forgetAfter {
+			delete(c.lost, address)
 		}
 	}
 }
--- a/fleet/membership/core_test.go
+++ b/fleet/membership/core_test.go
@@ -159,3 +159,22 @@
 	})
 	is.True(c.Removed())
 }
+
+// TestLostControllerIsForgotten loses a controller that is no member: after a while
+// nobody knows it any more, though all tell each other of those that they know.
+func TestLostControllerIsForgotten(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, 2, []string{address(1), address(2), address(3)}, true)
+	f.run(5 * time.Second)
+	gone := address(2) // has no disk
+	delete(f.cores, gone)
+	f.run(3 * forgetAfter)
+	for a, c := range f.cores {
+		for _, known := range c.Addresses() {
+			if known == gone {
+				t.Errorf("%s still knows %s", a, gone)
+			}
+		}
+	}
+	is.Equal(len(f.cores), 4)
+}
--- a/fleet/wire/serve.go
+++ b/fleet/wire/serve.go
@@ -31,7 +31,7 @@
 	Pong uint64 `cbor:"11,keyasint,omitempty"`
 	// Configuration is the one in force, when it changed.
 	Configuration *state.Replace `cbor:"12,keyasint,omitempty"`
-	// Upstreams is the platform's list, when it changed.
+	// Upstreams is what changed in the platform's list, or all of it.
 	Upstreams *Upstreams `cbor:"13,keyasint,omitempty"`
 	// Decisions answer Places.
 	Decisions []dispatch.Decision `cbor:"14,keyasint,omitempty"`
@@ -46,6 +46,8 @@
 	Zone string `cbor:"2,keyasint"`
 	// Version is the configuration's that is in force at the gateway.
 	Version uint64 `cbor:"3,keyasint"`
+	// Sum is that of the list of upstreams which the gateway has.
+	Sum uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Welcome tells a gateway whether it has found the leader.
@@ -72,11 +74,6 @@
 	Ending dispatch.Ending `cbor:"2,keyasint,omitempty"`
 }
 
-// Upstreams is the platform's list of upstreams.
-type Upstreams struct {
-	List []dispatch.Upstream `cbor:"1,keyasint"`
-}
-
 // Empty reports whether the frame carries nothing.
 func (s *Serve) Empty() bool {
 	return s.Hello == nil && s.Ping == 0 && len(s.Places) == 0 && len(s.Sent) == 0 && len(s.Begun) == 0 &&
--- /dev/null
+++ b/fleet/wire/upstreams_test.go
@@ -0,0 +1,80 @@
+package wire
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"baobabpaddle/fleet/dispatch"
+)
+
+// draw returns a random list over few identifiers, so that lists overlap.
+func draw(random *rand.Rand) map[string]dispatch.Upstream {
+	list := make(map[string]dispatch.Upstream)
+	for i := range 30 {
+		if random.IntN(3) == 0 {
+			continue
+		}
+		u := dispatch.Upstream{
+			ID:       fmt.Sprint("i-", i),
+			Service:  "llm",
+			Address:  fmt.Sprintf("10.0.0.%d:80", i),
+			Slots:    64,
+			Draining: random.IntN(5) == 0,
+		}
+		list[u.ID] = u
+	}
+	return list
+}
+
+// TestDifferences applies changes between random lists: the result is the sender's
+// list, and a change of another list is noticed.
+func TestDifferences(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 500 {
+		from, to, other := draw(random), draw(random), draw(random)
+		got, same := WholeList(to).Apply(from)
+		is.True(same)
+		is.Equal(got, to)
+		change := Difference(from, to)
+		if change == nil {
+			is.Equal(from, to)
+			continue
+		}
+		got, same = change.Apply(from)
+		is.True(same)
+		is.Equal(got, to)
+		got, same = change.Apply(other)
+		is.Equal(same, Sum(got) == Sum(to))
+	}
+	is.True(Difference(draw(rand.New(rand.NewPCG(7, 7))), draw(rand.New(rand.NewPCG(7, 7)))) == nil)
+}
+
+// TestOneChangeIsSmall tells a fleet with 3,000 upstreams of one that drains.
+func TestOneChangeIsSmall(t *testing.T) {
+	is := is.New(t)
+	list := make(map[string]dispatch.Upstream)
+	for i := range 3000 {
+		id := fmt.Sprintf("i-%08x", i)
+		list[id] = dispatch.Upstream{
+			ID:      id,
+			Service: "assistant",
+			Address: "10.128.0.9:8080",
+			Zone:    "zone-a",
+			Slots:   64,
+		}
+	}
+	next, _ := WholeList(list).Apply(nil)
+	u := next["i-00000007"]
+	u.Draining = true
+	next[u.ID] = u
+	data, err := cbor.Marshal(Serve{
+		Upstreams: Difference(list, next),
+	})
+	is.NoErr(err)
+	is.True(len(data) < 200)
+}
--- a/gateway/internal/controller/find.go
+++ b/gateway/internal/controller/find.go
@@ -125,15 +125,17 @@
 			target: address,
 		}
 	}
+	view := l.view.Load()
 	version := uint64(0)
-	if v := l.view.Load(); v.Table != nil {
-		version = v.Table.Configuration.Version
+	if view.Table != nil {
+		version = view.Table.Configuration.Version
 	}
 	if c.Send(wire.Serve{
 		Hello: &wire.ServeHello{
 			Name:    l.settings.Name,
 			Zone:    l.settings.Zone,
 			Version: version,
+			Sum:     wire.Sum(view.Upstreams),
 		},
 	}) != nil {
 		c.Close()
--- a/gateway/internal/controller/link.go
+++ b/gateway/internal/controller/link.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -369,12 +371,14 @@
 		}
 	}
 	if f.Upstreams != nil {
-		l.log.Info("list of upstreams changed", "upstreams", len(f.Upstreams.List), "before", len(next.Upstreams))
-		next.Upstreams = make(map[string]dispatch.Upstream, len(f.Upstreams.List))
-		for _, u := range f.Upstreams.List {
-			next.Upstreams[u.ID] = u
+		list, same := f.Upstreams.Apply(next.Upstreams)
+		l.log.Info("list of upstreams changed", "upstreams", len(list), "before", len(next.Upstreams), "same_as_leader", same)
+		next.Upstreams = list
+		l.core.SetUpstreams(slices.Collect(maps.Values(list)))
+		if !same {
+			// A change was missed; with another link comes the whole list.
+			l.conn.Close()
 		}
-		l.core.SetUpstreams(f.Upstreams.List)
 		changed = true
 	}
 	if f.Gateways > 0 {
--- a/gateway/internal/controller/link_test.go
+++ b/gateway/internal/controller/link_test.go
@@ -80,15 +80,13 @@
 		Welcome: &wire.Welcome{
 			Leads: true,
 		},
-		Upstreams: &wire.Upstreams{
-			List: []dispatch.Upstream{
-				{
-					ID:      "u",
-					Service: "desk",
-					Address: "10.0.0.1:80",
-				},
+		Upstreams: wire.WholeList(wire.ByID([]dispatch.Upstream{
+			{
+				ID:      "u",
+				Service: "desk",
+				Address: "10.0.0.1:80",
 			},
-		},
+		})),
 	})
 	_ = c.Send(wire.Serve{
 		Configuration: &state.Replace{
@@ -241,3 +239,27 @@
 		return found
 	})
 }
+
+// TestMissedChangeBringsTheWholeList sends a change of another list than the gateway
+// has: it links anew and has the leader's list afterwards.
+func TestMissedChangeBringsTheWholeList(t *testing.T) {
+	is := is.New(t)
+	front := startLeader(t)
+	l := startLink(t, []string{front.address}, time.Minute)
+	eventually(t, "not ready", func() bool { return l.View().Ready() })
+	front.set(func(l *leader) {
+		is.NoErr(l.conns[0].Send(wire.Serve{
+			Upstreams: &wire.Upstreams{
+				Listed: []dispatch.Upstream{{
+					ID: "v",
+				}},
+				Sum: 5,
+			},
+		}))
+	})
+	eventually(t, "not linked anew", func() bool {
+		links := 0
+		front.set(func(l *leader) { links = len(l.conns) })
+		return links == 2 && len(l.View().Upstreams) == 1
+	})
+}
