dispatch: a new leader is told what teams were given

Cause: a new leader began with empty accounts, so that for 4.5 s every team counted as below its share and floods filled the engines.

Change: gateways count the leader's decisions by team and tell a new leader the sums, the 1,024 largest; they count there as half a window old. Not told to a leader that was linked before.

--- a/controller/internal/gateway/hub.go
+++ b/controller/internal/gateway/hub.go
@@ -241,6 +241,7 @@
 	key := dispatch.Key{
 		Gateway: c.name,
 	}
+	h.core.AddAccounts(now, frame.Accounts)
 	for _, s := range frame.Sent {
 		h.core.Sent(c.name, s.ID, s.Upstream, s.Prompt, s.Begun)
 	}
--- a/controller/internal/gateway/hub_test.go
+++ b/controller/internal/gateway/hub_test.go
@@ -81,3 +81,21 @@
 	default:
 	}
 }
+
+// TestNewLeaderTakesAccounts has a gateway tell what its teams were given.
+func TestNewLeaderTakesAccounts(t *testing.T) {
+	is := is.New(t)
+	h := New(nil, nil, telemetry.NewMetrics(), slog.New(slog.DiscardHandler))
+	h.receive(&conn{
+		name: "a",
+	}, wire.Serve{
+		Accounts: []dispatch.Account{{
+			Team:     "north",
+			Asked:    500,
+			Admitted: 300,
+		}},
+	})
+	accounts := h.core.Accounts(time.Now())
+	is.Equal(len(accounts), 1)
+	is.Equal(accounts[0].Admitted, 300.0)
+}
--- /dev/null
+++ b/fleet/dispatch/account.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// Account is what one team asked for and was admitted within the window, in tokens.
+type Account struct {
+	Team     string  `cbor:"1,keyasint"`
+	Asked    float64 `cbor:"2,keyasint,omitempty"`
+	Admitted float64 `cbor:"3,keyasint,omitempty"`
+}
+
+// MaxAccounts is how many teams' accounts are told; those of the largest matter most.
+const MaxAccounts = 1024
+
+// Count takes a decision on a request that another core has made.
+func (c *Core) Count(now time.Time, r Request, admitted bool) {
+	if r.Team == "" || r.Prompt.Tokens == 0 {
+		return
+	}
+	slot, tokens := c.shares.slot(now), cost(r.Prompt)
+	if slot-c.shares.levelSlot >= buckets {
+		c.shares.levelSlot = slot
+		c.shares.prune(slot)
+	}
+	t := c.shares.team(r.Team)
+	if !r.Resumed {
+		t.asked.add(slot, tokens)
+	}
+	if admitted {
+		t.admitted.add(slot, tokens)
+	}
+}
+
+// Accounts returns the accounts of the teams that were admitted most.
+func (c *Core) Accounts(now time.Time) []Account {
+	slot := c.shares.slot(now)
+	var out []Account
+	c.shares.prune(slot)
+	for name, t := range c.shares.teams {
+		out = append(out, Account{
+			Team:     name,
+			Asked:    t.asked.total,
+			Admitted: t.admitted.total,
+		})
+	}
+	slices.SortFunc(out, func(a, b Account) int {
+		switch {
+		case a.Admitted > b.Admitted:
+			return -1
+		case a.Admitted < b.Admitted:
+			return 1
+		}
+		return 0
+	})
+	return out[:min(len(out), MaxAccounts)]
+}
+
+// AddAccounts takes the accounts of requests that this core did not see. They count
+// as if they were half a window old.
+func (c *Core) AddAccounts(now time.Time, accounts []Account) {
+	slot := c.shares.slot(now)
+	for _, a := range accounts {
+		t := c.shares.team(a.Team)
+		t.asked.addBefore(slot, max(a.Asked, 0))
+		t.admitted.addBefore(slot, max(a.Admitted, 0))
+	}
+}
+
+// addBefore adds tokens as of half a window before the slot.
+func (w *window) addBefore(slot int64, tokens float64) {
+	w.advance(slot)
+	w.sums[(w.slot-buckets/2)%buckets] += tokens
+	w.total += tokens
+}
--- a/fleet/dispatch/core_test.go
+++ b/fleet/dispatch/core_test.go
@@ -1,11 +1,14 @@
 package dispatch
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"baobabpaddle/fleet/configuration"
 )
 
 var begin = time.Unix(1000, 0)
@@ -77,3 +80,66 @@
 	is.Equal(ask(102, at.Add(2*firstSuspension-1)), "")
 	is.Equal(ask(103, at.Add(2*firstSuspension)), "a")
 }
+
+// TestNewLeaderKnowsTheShares has a team receive far more than its share, and another
+// core take over with the accounts: the team is still over its share there, and for no
+// longer than a window.
+func TestNewLeaderKnowsTheShares(t *testing.T) {
+	is := is.New(t)
+	request := func(id uint64, team string) Request {
+		return Request{
+			ID:      id,
+			Service: "llm",
+			Team:    team,
+			Prompt: Prompt{
+				Tokens: 1000,
+			},
+			Objective: time.Second,
+		}
+	}
+	table := configuration.NewTable(&configuration.Configuration{
+		Services: []configuration.Service{{
+			Name:   "llm",
+			Engine: &configuration.Engine{},
+		}},
+		Limits: configuration.Limits{
+			TokensPerSecond: 10_000,
+		},
+	})
+	gateway, leader := newCore(), newCore()
+	leader.SetConfiguration(table)
+	for i := range uint64(60) {
+		gateway.Count(begin, request(i, "large"), true)
+	}
+	gateway.Count(begin, request(100, "small"), false)
+	accounts := gateway.Accounts(begin)
+	is.Equal(len(accounts), 2)
+	is.Equal(accounts[0].Team, "large")
+	is.Equal(accounts[0].Admitted, 60_000.0)
+	is.Equal(accounts[1].Asked, 1000.0)
+
+	leader.AddAccounts(begin, accounts)
+	now := begin.Add(DefaultShareWindow / buckets)
+	is.True(leader.ask(now, request(101, "large")))
+	is.True(!leader.ask(now, request(102, "small")))
+	is.True(!leader.ask(begin.Add(DefaultShareWindow), request(103, "large")))
+}
+
+// TestCountedTeamsAreForgotten counts ten teams each slot, others each time, as a
+// gateway does whose requests the leader places: those of the window are kept.
+func TestCountedTeamsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	c := newCore()
+	for i := range 100 * buckets {
+		now := begin.Add(time.Duration(i) * DefaultShareWindow / buckets)
+		for team := range 10 {
+			c.Count(now, Request{
+				Team: fmt.Sprint(i, "-", team),
+				Prompt: Prompt{
+					Tokens: 1,
+				},
+			}, false)
+		}
+	}
+	is.True(len(c.shares.teams) <= 2*10*(buckets+1))
+}
--- a/fleet/dispatch/share.go
+++ b/fleet/dispatch/share.go
@@ -95,13 +95,8 @@
 	s.levelSlot = slot
 	s.scratch = s.scratch[:0]
 	hungry, sum := 0, 0.0
-	for name, t := range s.teams {
-		t.asked.advance(slot)
-		t.admitted.advance(slot)
-		if t.asked.total <= 0 && t.admitted.total <= 0 {
-			delete(s.teams, name)
-			continue
-		}
+	s.prune(slot)
+	for _, t := range s.teams {
 		s.scratch = append(s.scratch, t.asked.total)
 		if slot-t.refused <= hungryBuckets {
 			hungry++
@@ -112,6 +107,18 @@
 	s.hungry = sum / float64(max(hungry, 1))
 }
 
+// prune brings all accounts up to a slot and forgets teams that have nothing in the
+// window.
+func (s *shares) prune(slot int64) {
+	for name, t := range s.teams {
+		t.asked.advance(slot)
+		t.admitted.advance(slot)
+		if t.asked.total <= 0 && t.admitted.total <= 0 {
+			delete(s.teams, name)
+		}
+	}
+}
+
 // lenience returns by how much the bound for teams over their share is widened
 // or narrowed for this team, so that teams which are refused receive alike.
 func (s *shares) lenience(t *team) float64 {
--- a/fleet/wire/serve.go
+++ b/fleet/wire/serve.go
@@ -24,6 +24,9 @@
 	// Ended tells how work on requests ended.
 	Ended []Ended `cbor:"6,keyasint,omitempty"`
 
+	// Accounts are what teams were given through this gateway, for a new leader.
+	Accounts []dispatch.Account `cbor:"16,keyasint,omitempty"`
+
 	// Welcome is the controller's first word.
 	Welcome *Welcome `cbor:"10,keyasint,omitempty"`
 	// Pong answers a ping: the configuration told so far was the newest when the
@@ -78,5 +81,5 @@
 func (s *Serve) Empty() bool {
 	return s.Hello == nil && s.Ping == 0 && len(s.Places) == 0 && len(s.Sent) == 0 && len(s.Begun) == 0 &&
 		len(s.Ended) == 0 && s.Welcome == nil && s.Pong == 0 && s.Configuration == nil && s.Upstreams == nil &&
-		len(s.Decisions) == 0 && s.Gateways == 0
+		len(s.Decisions) == 0 && s.Gateways == 0 && len(s.Accounts) == 0
 }
--- a/gateway/internal/controller/link.go
+++ b/gateway/internal/controller/link.go
@@ -82,6 +82,7 @@
 	pings   map[uint64]steady.Time
 	ping    uint64
 	version uint64
+	last    string // the leader of the link before
 
 	known atomic.Pointer[[]string] // addresses of controllers
 }
@@ -309,6 +310,10 @@
 			Begun:    p.Begun,
 		})
 	}
+	if leader != l.last {
+		l.out.Accounts = l.core.Accounts(time.Now())
+		l.last = leader
+	}
 	l.flush()
 	l.sendPing()
 	l.setLeader(leader)
@@ -411,6 +416,7 @@
 		return // decided here meanwhile, and the leader was told
 	}
 	delete(l.waiting, d.ID)
+	l.core.Count(time.Now(), w.request, d.Upstream != "")
 	if d.Upstream != "" {
 		l.core.Sent(l.settings.Name, d.ID, d.Upstream, w.request.Prompt, false)
 	}
--- a/gateway/internal/controller/link_test.go
+++ b/gateway/internal/controller/link_test.go
@@ -263,3 +263,40 @@
 		return links == 2 && len(l.View().Upstreams) == 1
 	})
 }
+
+// TestNewLeaderHearsOfShares has the leader place a request and a second leader take
+// over: it is told what the team was given. The first one, linked again, is not.
+func TestNewLeaderHearsOfShares(t *testing.T) {
+	is := is.New(t)
+	accounts := func(l *leader) (sum float64) {
+		l.set(func(l *leader) {
+			for _, f := range l.frames {
+				for _, a := range f.Accounts {
+					sum += a.Admitted
+				}
+			}
+		})
+		return sum
+	}
+	first, second := startLeader(t), startLeader(t)
+	l := startLink(t, []string{first.address}, time.Minute)
+	eventually(t, "not ready", func() bool { return l.View().Ready() })
+	l.Place(context.Background(), dispatch.Request{
+		ID:      1,
+		Service: "desk",
+		Team:    "north",
+		Prompt: dispatch.Prompt{
+			Tokens: 700,
+		},
+	})
+	links := func(l *leader) (n int) {
+		l.set(func(l *leader) { n = len(l.conns) })
+		return n
+	}
+	first.set(func(f *leader) { f.conns[0].Close() })
+	eventually(t, "not linked again", func() bool { return links(first) == 2 && l.View().Leader != "" })
+	is.Equal(accounts(first), 0.0)
+	l.SetSeeds([]string{second.address})
+	first.set(func(f *leader) { f.conns[1].Close() })
+	eventually(t, "the second leader is not told", func() bool { return accounts(second) == 700 })
+}
