--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 BIN := bin
 
-.PHONY: demo build test prove bench bench-share bench-fleet bench-capacity lint generate
+.PHONY: demo build test prove bench bench-share bench-fleet bench-capacity soak lint generate
 
 demo: build
 	$(BIN)/demo --bin $(BIN) --example examples/fournos/resources.json \
@@ -33,6 +33,12 @@
 bench-capacity: build
 	$(BIN)/capacity-bench --bin $(BIN)
 
+# soak runs real processes under random faults, each seed for half a minute.
+SEED ?= $(shell date +%s)
+SEEDS ?= 6
+soak: build
+	$(BIN)/soak --bin $(BIN) --seed $(SEED) --seeds $(SEEDS) --jobs 3 --minutes 0.5
+
 lint:
 	.ci/lint
 
--- a/baobabctl/explain.go
+++ b/baobabctl/explain.go
@@ -28,7 +28,7 @@
 		}
 		lines = append(lines, part...)
 	}
-	print(os.Stdout, c.Request, trace.Explain(lines, c.Request))
+	writeExplanation(os.Stdout, c.Request, trace.Explain(lines, c.Request))
 	return nil
 }
 
@@ -41,8 +41,8 @@
 	return trace.Read(f)
 }
 
-// print writes an explanation.
-func print(w io.Writer, request string, e trace.Explanation) {
+// writeExplanation writes the lines and the reason.
+func writeExplanation(w io.Writer, request string, e trace.Explanation) {
 	for _, l := range e.Lines {
 		mark := " "
 		if l.Request == request {
--- a/bench/internal/soak/soak.go
+++ b/bench/internal/soak/soak.go
@@ -132,13 +132,10 @@
 	if s.list, err = net.Listen("tcp", fmt.Sprintf("%s:%d", host, listPort)); err != nil {
 		return merry.Prepend(err, "list")
 	}
-	go http.Serve(s.list, platform.ListHandler(func() []dispatch.Upstream {
-		out := make([]dispatch.Upstream, len(s.upstreams))
-		for i, u := range s.upstreams {
-			out[i] = u.Listed()
-		}
-		return out
-	}))
+	server := &http.Server{
+		Handler: platform.ListHandler(s.listed),
+	}
+	go server.Serve(s.list)
 	if err := s.startFleet(); err != nil {
 		return err
 	}
@@ -152,6 +149,15 @@
 	return nil
 }
 
+// listed returns the platform's list.
+func (s *Soak) listed() []dispatch.Upstream {
+	out := make([]dispatch.Upstream, len(s.upstreams))
+	for i, u := range s.upstreams {
+		out[i] = u.Listed()
+	}
+	return out
+}
+
 // work has callers send requests while faults come, and after the last one.
 func (s *Soak) work(ctx context.Context) {
 	calling, hush := context.WithCancel(ctx)
--- a/bench/internal/soak/upstream.go
+++ b/bench/internal/soak/upstream.go
@@ -73,9 +73,10 @@
 		ConnState: func(c net.Conn, state http.ConnState) {
 			u.mu.Lock()
 			defer u.mu.Unlock()
-			if state == http.StateNew {
+			switch state {
+			case http.StateNew:
 				u.conns[c] = true
-			} else if state == http.StateClosed || state == http.StateHijacked {
+			case http.StateClosed, http.StateHijacked:
 				delete(u.conns, c)
 			}
 		},
--- /dev/null
+++ b/controller/internal/gateway/handler.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+
+	"baobabpaddle/fleet/credential"
+	"baobabpaddle/fleet/link"
+	"baobabpaddle/fleet/wire"
+)
+
+// Handler accepts the links of gateways. A controller that does not lead tells
+// who does.
+func (h *Hub) Handler(ctx context.Context, dialer link.Dialer) http.Handler {
+	return link.Handler(ctx, dialer, func(_ credential.Peer, l *link.Conn[wire.Serve]) {
+		frame, err := l.Receive()
+		if err != nil || frame.Hello == nil {
+			return
+		}
+		if !h.confirmLead(ctx) {
+			_ = l.Send(wire.Serve{
+				Welcome: &wire.Welcome{
+					Leader:      h.replicas.LeaderAddress(),
+					Controllers: h.directory.Addresses(),
+				},
+			})
+			// The gateway closes the link; the read ends then or with the link.
+			_, _ = l.Receive()
+			return
+		}
+		c := &conn{
+			Conn:    l,
+			name:    frame.Hello.Name,
+			version: frame.Hello.Version,
+			sum:     frame.Hello.Sum,
+		}
+		h.post(ctx, event{
+			opened: c,
+		})
+		for {
+			frame, err := l.Receive()
+			if err != nil {
+				break
+			}
+			h.post(ctx, event{
+				from:  c,
+				frame: frame,
+			})
+		}
+		h.post(ctx, event{
+			closed: c,
+		})
+	})
+}
+
+// confirmLead reports whether this controller leads and a majority agrees.
+func (h *Hub) confirmLead(ctx context.Context) bool {
+	r := h.replicas.Replica()
+	if r == nil || !r.IsLeader() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, welcomeTimeout)
+	defer cancel()
+	return r.Barrier(ctx) == nil && r.IsLeader()
+}
--- a/controller/internal/gateway/hub.go
+++ b/controller/internal/gateway/hub.go
@@ -3,16 +3,12 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"math/rand/v2"
-	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"baobabpaddle/controller/internal/replica"
 	"baobabpaddle/fleet/configuration"
-	"baobabpaddle/fleet/credential"
 	"baobabpaddle/fleet/dispatch"
 	"baobabpaddle/fleet/link"
 	"baobabpaddle/fleet/state"
@@ -25,9 +21,6 @@
 	eventQueue = 4096
 	// leadInterval is how often the lead is checked.
 	leadInterval = 100 * time.Millisecond
-	// wantInterval is the pause before the platform's list is asked for again while
-	// there is none.
-	wantInterval = 150 * time.Millisecond
 	// welcomeTimeout bounds the confirmation that this controller leads.
 	welcomeTimeout = time.Second
 )
@@ -273,45 +266,6 @@
 	}
 }
 
-// wantList asks for the platform's list unless there is one.
-func (h *Hub) wantList(now time.Time) {
-	if h.upstreams != nil || now.Before(h.wantAfter) {
-		return
-	}
-	h.wantAfter = now.Add(wantInterval)
-	select {
-	case h.wanted <- struct{}{}:
-	default: // asked for already
-	}
-}
-
-// ListWanted receives when the platform's list is needed at once.
-func (h *Hub) ListWanted() <-chan struct{} { return h.wanted }
-
-// setUpstreams takes the platform's list and tells the gateways what changed.
-func (h *Hub) setUpstreams(list []dispatch.Upstream) {
-	next := wire.ByID(list)
-	first := h.upstreams == nil
-	change := wire.Difference(h.upstreams, next)
-	if first {
-		change = wire.WholeList(next)
-	}
-	if change == nil {
-		return
-	}
-	h.log.Info("list of upstreams changed", "upstreams", len(next), "before", len(h.upstreams))
-	h.upstreams = next
-	h.core.SetUpstreams(slices.Collect(maps.Values(next)))
-	for _, c := range h.conns {
-		if first && c.sum == change.Sum {
-			continue // it has this list from an earlier leader
-		}
-		h.send(c, wire.Serve{
-			Upstreams: change,
-		})
-	}
-}
-
 // refresh puts the replica's configuration in force and tells the gateways.
 func (h *Hub) refresh() {
 	r := h.replicas.Replica()
@@ -400,65 +354,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// SetUpstreams takes the platform's list.
-func (h *Hub) SetUpstreams(ctx context.Context, list []dispatch.Upstream) {
-	h.post(ctx, event{
-		upstreams: list,
-	})
-}
-
-// Handler accepts the links of gateways. A controller that does not lead tells
-// who does.
-func (h *Hub) Handler(ctx context.Context, dialer link.Dialer) http.Handler {
-	return link.Handler(ctx, dialer, func(_ credential.Peer, l *link.Conn[wire.Serve]) {
-		frame, err := l.Receive()
-		if err != nil || frame.Hello == nil {
-			return
-		}
-		if !h.confirmLead(ctx) {
-			_ = l.Send(wire.Serve{
-				Welcome: &wire.Welcome{
-					Leader:      h.replicas.LeaderAddress(),
-					Controllers: h.directory.Addresses(),
-				},
-			})
-			// The gateway closes the link; the read ends then or with the link.
-			_, _ = l.Receive()
-			return
-		}
-		c := &conn{
-			Conn:    l,
-			name:    frame.Hello.Name,
-			version: frame.Hello.Version,
-			sum:     frame.Hello.Sum,
-		}
-		h.post(ctx, event{
-			opened: c,
-		})
-		for {
-			frame, err := l.Receive()
-			if err != nil {
-				break
-			}
-			h.post(ctx, event{
-				from:  c,
-				frame: frame,
-			})
-		}
-		h.post(ctx, event{
-			closed: c,
-		})
-	})
-}
-
-// confirmLead reports whether this controller leads and a majority agrees.
-func (h *Hub) confirmLead(ctx context.Context) bool {
-	r := h.replicas.Replica()
-	if r == nil || !r.IsLeader() {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, welcomeTimeout)
-	defer cancel()
-	return r.Barrier(ctx) == nil && r.IsLeader()
-}
--- /dev/null
+++ b/gateway/internal/serve/silent_test.go
@@ -0,0 +1,109 @@
+package serve
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"baobabpaddle/fleet/dispatch"
+)
+
+// mute reads a request and answers nothing until the connection ends.
+func mute(w net.Conn, _ *http.Request) bool {
+	_, _ = io.Copy(io.Discard, w)
+	return false
+}
+
+// TestMuteUpstreamIsLeft sends a repeatable request to an upstream that takes it
+// and says nothing: another upstream answers it long before the deadline, unless
+// there is none, or the budget for retries is used up.
+func TestMuteUpstreamIsLeft(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, mute, reply("200 OK", stamp, "yes"))
+	started := time.Now()
+	response, body, err := b.ask("/look/")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 200)
+	is.Equal(body, "yes")
+	is.True(time.Since(started) < time.Second)
+	is.Equal(b.fleet.ended[0], dispatch.Silent)
+
+	slow := func(w net.Conn, r *http.Request) bool {
+		time.Sleep(600 * time.Millisecond)
+		return reply("200 OK", stamp, "late")(w, r)
+	}
+	b = newBed(t, slow, reply("200 OK", stamp, "yes"))
+	b.handler.budget.settings = RetrySettings{
+		Window: time.Second,
+	}
+	_, body, err = b.ask("/look/")
+	is.NoErr(err)
+	is.Equal(body, "late") // waited for, since nobody else may be asked
+	is.Equal(b.runs(), 1)
+
+	// What may have run once is never sent again.
+	b = newBed(t, slow, reply("200 OK", stamp, "yes"))
+	_, body, err = b.ask("/book/")
+	is.NoErr(err)
+	is.Equal(body, "late")
+	is.Equal(b.runs(), 1)
+}
+
+// TestStalledStreamGoesOn has a stream stand still after its first event while its
+// connection stays open: a resumable one goes on elsewhere before its caller leaves.
+func TestStalledStreamGoesOn(t *testing.T) {
+	is := is.New(t)
+	stall := func(w net.Conn, r *http.Request) bool {
+		stream("id: 1\ndata: a\n\n", false)(w, r)
+		return mute(w, r)
+	}
+	b := newBed(t, stall, stream("id: 2\ndata: b\n\n", true))
+	started := time.Now()
+	response, body, err := b.ask("/chat/", "X-Api-Key", "key-1")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 200)
+	is.Equal(body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	is.True(time.Since(started) < leaveTime)
+	is.Equal(b.received[1].Header.Get("Last-Event-Id"), "1")
+}
+
+// TestResumedStreamMeetsFailure resumes a stream at an upstream that answers with a
+// failure: the failure is no part of the stream, which must not look complete.
+func TestResumedStreamMeetsFailure(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, stream("id: 1\ndata: a\n\n", false), reply("500 Internal Server Error", stamp, "no"))
+	_, body, err := b.ask("/chat/", "X-Api-Key", "key-1")
+	is.True(err != nil) // broken off
+	is.Equal(body, "id: 1\ndata: a\n\n")
+	is.Equal(b.runs(), 2)
+}
+
+// reset closes a connection so that its peer sees a reset.
+func reset(w net.Conn) {
+	_ = w.(*net.TCPConn).SetLinger(0)
+	w.Close()
+}
+
+// TestResetAnswerIsNotWhole resets the connection of an answer without a length,
+// which would end with its connection otherwise.
+func TestResetAnswerIsNotWhole(t *testing.T) {
+	is := is.New(t)
+	half := func(w net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\n"+stamp+"\r\nhalf")
+		time.Sleep(50 * time.Millisecond)
+		reset(w)
+		return false
+	}
+	b := newBed(t, half, reply("200 OK", stamp, "whole"))
+	for range 10 {
+		response, body, err := b.ask("/look/")
+		is.NoErr(err)
+		is.Equal(response.StatusCode, 200)
+		is.Equal(body, "whole")
+		b.fleet.next = 0
+	}
+}
