--- a/fleet/membership/core_test.go
+++ b/fleet/membership/core_test.go
@@ -164,7 +164,7 @@
 // nobody knows it any more, though all tell each other of those that they know.
 func TestLostControllerIsForgotten(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(3, 2, []string{address(1), address(2), address(3)}, true)
+	f := newFleet(4, 2, []string{address(1), address(2), address(3)}, true)
 	f.run(5 * time.Second)
 	gone := address(2) // has no disk
 	delete(f.cores, gone)
@@ -176,5 +176,5 @@
 			}
 		}
 	}
-	is.Equal(len(f.cores), 4)
+	is.Equal(len(f.cores), 5)
 }
