serve: a draining gateway expects the pace of slow streams

A stream was accepted 3.2 s after SIGTERM, expected within the remaining 4.8 s from the mean pace, and was cut when the process was killed: some upstreams were slower than the mean.

Change: the expected pace follows slow streams (weights 0.5 up, 0.01 down).

--- a/gateway/internal/serve/pace.go
+++ b/gateway/internal/serve/pace.go
@@ -10,15 +10,17 @@
 const (
 	// firstPace is the time per token that is expected before any was seen.
 	firstPace = 10 * time.Millisecond
-	// paceWeight is the weight of a new stream in the mean.
-	paceWeight = 0.1
-	// paceMargin covers streams that are slower than the mean.
+	// paceRise and paceFall are the weights of a new stream that is slower or faster
+	// than what is expected, so that this stays near the slowest tenth.
+	paceRise = 0.5
+	paceFall = 0.01
+	// paceMargin covers streams that are slower still.
 	paceMargin = 1.5
 	// paceTokens is how many tokens a stream must have to count.
 	paceTokens = 20
 )
 
-// pace is the mean time that upstreams take for a generated token.
+// pace is the time that upstreams take for a generated token of their slow streams.
 type pace struct {
 	nanos atomic.Uint64 // bits of a float; zero before the first stream
 }
@@ -31,10 +33,14 @@
 	each := float64(took) / float64(tokens)
 	old := math.Float64frombits(p.nanos.Load())
 	if old > 0 {
-		each = old + paceWeight*(each-old)
+		weight := paceFall
+		if each > old {
+			weight = paceRise
+		}
+		each = old + weight*(each-old)
 	}
-	// A value that another stream writes at the same time may be lost; the mean
-	// does not need each of them.
+	// A value that another stream writes at the same time may be lost; not each of
+	// them is needed.
 	p.nanos.Store(math.Float64bits(each))
 }
 
