Tell from the log why a team received less than its share

The placing core keeps a ledger of each team's seconds: tokens asked for, tokens of requests that began, refusals by who made them and why, and whether requests waited past their objective. Gateways tell with each ping what they refused without asking; a shed request is therefore refused after its team is known. Decisions do not use any of this yet.

Ruled out as a way to it: reading it from the gateways' lines, of which a flooded host drops some. Memory: 7 entries a team of at most 96 bytes, for teams with requests in the last 7 s.

--- a/controller/internal/gateway/hub.go
+++ b/controller/internal/gateway/hub.go
@@ -82,6 +82,8 @@
 	upstreams map[string]dispatch.Upstream // nil before the list was read
 	replies   map[*conn][]dispatch.Decision
 	measures  *measures
+	// servesSince is when the first of the gateways linked.
+	servesSince time.Time
 	// whole and change are the frames that tell the configuration in force, to gateways
 	// of any version and of changeFrom; nil before they are encoded.
 	whole      link.Frame
@@ -197,6 +199,9 @@
 	if old := h.conns[c.name]; old != nil {
 		old.Close()
 	}
+	if len(h.conns) == 0 {
+		h.servesSince = time.Now()
+	}
 	h.conns[c.name] = c
 	h.linked.Store(int64(len(h.conns)))
 	h.wantList(time.Now())
@@ -247,6 +252,7 @@
 		Gateway: c.name,
 	}
 	h.core.AddAccounts(now, frame.Accounts)
+	h.core.RefusedElsewhere(now, frame.Refused)
 	for _, w := range frame.Words {
 		h.core.Heard(now, w)
 	}
--- a/controller/internal/gateway/measure.go
+++ b/controller/internal/gateway/measure.go
@@ -17,6 +17,7 @@
 	totals map[string]dispatch.Total
 	share  float64
 	teams  int
+	short  int
 }
 
 // measures publishes the core's figures. Services get gauges as they are seen;
@@ -35,14 +36,15 @@
 	}
 	s.latest.Store(&figures{})
 	m.Gauge("controller_team_share_tokens", func() float64 { return s.latest.Load().share })
+	m.Gauge("controller_teams_short", func() float64 { return float64(s.latest.Load().short) })
 	m.Gauge("controller_teams_counted", func() float64 { return float64(s.latest.Load().teams) })
 	return s
 }
 
-// take measures the core if it is time.
-func (s *measures) take(now time.Time, core *dispatch.Core) {
+// take measures the core if it is time, and returns the teams that are short then.
+func (s *measures) take(now time.Time, core *dispatch.Core) []dispatch.Shortfall {
 	if now.Before(s.next) {
-		return
+		return nil
 	}
 	s.next = now.Add(measureInterval)
 	f := &figures{
@@ -53,7 +55,10 @@
 		s.register(t.Service)
 	}
 	f.share, f.teams = core.Share()
+	short := core.Shortfalls(now)
+	f.short = len(short)
 	s.latest.Store(f)
+	return short
 }
 
 // register adds the gauges of a service.
@@ -76,5 +81,5 @@
 // note logs and measures what the core has learned.
 func (h *Hub) note(now time.Time) {
 	trace.Upstreams(h.log, now, h.core.Changes())
-	h.measures.take(now, h.core)
+	trace.Shortfalls(h.log, now.Sub(h.servesSince), h.measures.take(now, h.core))
 }
--- a/fleet/dispatch/core.go
+++ b/fleet/dispatch/core.go
@@ -19,6 +19,7 @@
 	shares   *shares
 	classes  map[string]*class
 	speeds   map[string]*speeds
+	ledger   *ledger
 	changes  []Change
 }
 
@@ -40,6 +41,7 @@
 		shares:   newShares(settings.ShareWindow),
 		classes:  make(map[string]*class),
 		speeds:   make(map[string]*speeds),
+		ledger:   newLedger(coreSlots),
 	}
 }
 
@@ -113,7 +115,10 @@
 	return c.placePlain(now, gateway, r)
 }
 
-func (c *Core) refuse(r Request, reason Reason, in Inputs) Decision {
+func (c *Core) refuse(now time.Time, r Request, reason Reason, in Inputs) Decision {
+	if r.counted() {
+		c.ledger.refused(now, r.Team, refusalFor(reason))
+	}
 	first, last := float64(minRetryAfter), float64(maxRetryAfter)
 	quiet := time.Duration(0)
 	if reason == OverShare {
@@ -133,11 +138,14 @@
 func cost(p Prompt) float64 { return float64(p.Tokens) + 2*p.Output() }
 
 func (c *Core) placeModel(now time.Time, gateway string, r Request) Decision {
+	if r.counted() {
+		c.ledger.asked(now, r.Team, cost(r.Prompt))
+	}
 	best := c.bestEngine(now, r)
 	over := c.ask(now, r)
 	in := c.inputs(r, best)
 	if best.engine == nil {
-		return c.refuse(r, NoUpstream, in)
+		return c.refuse(now, r, NoUpstream, in)
 	}
 	ahead := reading(best.unread, best.speed)
 	in.Ahead, in.Own = ahead, reading(best.own, best.speed)
@@ -147,17 +155,19 @@
 	if !r.Resumed {
 		if over && ahead+size > c.idleBound(r, best.engine) {
 			c.shares.team(r.Team).refused = c.shares.slot(now)
-			return c.refuse(r, OverShare, in)
+			return c.refuse(now, r, OverShare, in)
 		}
 		if ahead > max(time.Duration(objectivePart*objective)-size, time.Duration(longPart*objective)) {
-			return c.refuse(r, Busy, in)
+			return c.refuse(now, r, Busy, in)
 		}
 	}
 	kind.admit(float64(r.Prompt.Tokens))
-	c.admit(now, c.place(now, Key{
+	p := c.place(now, Key{
 		Gateway: gateway,
 		ID:      r.ID,
-	}, best.engine, r.Team, r.Prompt, best.own))
+	}, best.engine, r.Team, r.Prompt, best.own)
+	p.onTimeUntil = now.Add(r.Objective)
+	c.admit(now, p)
 	return Decision{
 		ID:       r.ID,
 		Upstream: best.engine.ID,
@@ -330,10 +340,10 @@
 	in := c.inputs(r, best)
 	e := best.engine
 	if e == nil {
-		return c.refuse(r, NoUpstream, in)
+		return c.refuse(now, r, NoUpstream, in)
 	}
 	if e.Slots > 0 && best.running >= float64(e.Slots)*(1+queuePerSlot) {
-		return c.refuse(r, Busy, in)
+		return c.refuse(now, r, Busy, in)
 	}
 	c.place(now, Key{
 		Gateway: gateway,
--- /dev/null
+++ b/fleet/dispatch/ledger.go
@@ -0,0 +1,249 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// Figures of a ledger.
+const (
+	// fairSeconds is the span over which teams are compared, second by second.
+	fairSeconds = 6
+	// shortPart is the part of what is due to a team below which it is short.
+	shortPart = 0.5
+	// sparedRequests is how many of a team's largest requests are taken off what is due
+	// to it, since a request is served whole or not at all.
+	sparedRequests = 3
+	// coreSlots is how many slots a Core's ledger has in a second.
+	coreSlots = 1
+)
+
+// Refusals counts refused requests by who refused them and why.
+type Refusals struct {
+	OverShare  int
+	Busy       int
+	NoUpstream int
+	// ByGateway are those that gateways refused without asking.
+	ByGateway int
+}
+
+func (r *Refusals) add(o Refusals) {
+	r.OverShare += o.OverShare
+	r.Busy += o.Busy
+	r.NoUpstream += o.NoUpstream
+	r.ByGateway += o.ByGateway
+}
+
+// refusalFor returns one refusal.
+func refusalFor(reason Reason) Refusals {
+	switch reason {
+	case OverShare:
+		return Refusals{
+			OverShare: 1,
+		}
+	case Busy:
+		return Refusals{
+			Busy: 1,
+		}
+	default:
+		return Refusals{
+			NoUpstream: 1,
+		}
+	}
+}
+
+// Shortfall tells that a team received less than half of what was due to it within
+// the last six seconds, though it was refused or kept waiting in each of them.
+type Shortfall struct {
+	Team string
+	// Asked, Due and Received are tokens. Due sums, over the seconds, what the team
+	// asked for or the best served team received, whichever is less.
+	Asked    float64
+	Due      float64
+	Received float64
+	Refused  Refusals
+}
+
+// Part is the part of what was due that the team received.
+func (s Shortfall) Part() float64 { return s.Received / max(s.Due, 1) }
+
+// entry is what happened to a team's requests in one slot.
+type entry struct {
+	slot     int64
+	asked    float64 // tokens
+	received float64
+	largest  float64 // request asked for
+	refused  Refusals
+	// waited tells that a request had not begun at its objective.
+	waited bool
+}
+
+func (e *entry) wanted() bool { return e.waited || e.refused != Refusals{} }
+
+// ledger records what teams asked for and received, to find those that are short.
+// Requests count as received when their answers begin.
+type ledger struct {
+	slot  time.Duration
+	slots int64 // in a second
+	teams map[string][]entry
+}
+
+// newLedger returns a ledger with so many slots in a second.
+func newLedger(slotsPerSecond int) *ledger {
+	return &ledger{
+		slot:  time.Second / time.Duration(slotsPerSecond),
+		slots: int64(slotsPerSecond),
+		teams: make(map[string][]entry),
+	}
+}
+
+func (l *ledger) at(now time.Time) int64 { return now.UnixNano() / int64(l.slot) }
+
+// kept is for how many slots entries are kept: the span and a second in progress.
+func (l *ledger) kept() int64 { return (fairSeconds + 1) * l.slots }
+
+// entry returns a team's entry of a slot, to be added to.
+func (l *ledger) entry(team string, slot int64) *entry {
+	entries := l.teams[team]
+	if entries == nil {
+		entries = make([]entry, l.kept())
+		l.teams[team] = entries
+	}
+	e := &entries[slot%l.kept()]
+	if e.slot != slot {
+		*e = entry{
+			slot: slot,
+		}
+	}
+	return e
+}
+
+func (l *ledger) asked(now time.Time, team string, tokens float64) {
+	e := l.entry(team, l.at(now))
+	e.asked += tokens
+	e.largest = max(e.largest, tokens)
+}
+
+func (l *ledger) began(now time.Time, team string, tokens float64) {
+	l.entry(team, l.at(now)).received += tokens
+}
+
+func (l *ledger) refused(now time.Time, team string, r Refusals) {
+	l.entry(team, l.at(now)).refused.add(r)
+}
+
+// waited notes that a request has waited since its objective passed.
+func (l *ledger) waited(since, now time.Time, team string) {
+	last := l.at(now)
+	for slot := max(l.at(since), last-l.kept()+1); slot <= last; slot++ {
+		l.entry(team, slot).waited = true
+	}
+}
+
+// shortfalls returns the teams that are short in the span that ended when the present
+// slot began, the shortest first, and forgets teams without a request in it.
+func (l *ledger) shortfalls(now time.Time) []Shortfall {
+	end := l.at(now)
+	begin := end - fairSeconds*l.slots
+	var best [fairSeconds]float64
+	for team, entries := range l.teams {
+		last := int64(0)
+		var received [fairSeconds]float64
+		for _, e := range entries {
+			last = max(last, e.slot)
+			if e.slot >= begin && e.slot < end {
+				received[(e.slot-begin)/l.slots] += e.received
+			}
+		}
+		if last < begin {
+			delete(l.teams, team)
+			continue
+		}
+		for i := range best {
+			best[i] = max(best[i], received[i])
+		}
+	}
+	var out []Shortfall
+	for team, entries := range l.teams {
+		if s, short := l.shortfall(entries, begin, end, &best); short {
+			s.Team = team
+			out = append(out, s)
+		}
+	}
+	slices.SortFunc(out, func(a, b Shortfall) int {
+		switch {
+		case a.Part() < b.Part():
+			return -1
+		case a.Part() > b.Part():
+			return 1
+		}
+		return 0
+	})
+	return out
+}
+
+// shortfall sums a team's entries of a span and reports whether it is short.
+func (l *ledger) shortfall(entries []entry, begin, end int64, best *[fairSeconds]float64) (Shortfall, bool) {
+	var s Shortfall
+	var asked [fairSeconds]float64
+	var wanted [fairSeconds]bool
+	var sizes []float64
+	for i := range entries {
+		e := &entries[i]
+		if e.slot < begin || e.slot >= end {
+			continue
+		}
+		second := (e.slot - begin) / l.slots
+		asked[second] += e.asked
+		wanted[second] = wanted[second] || e.wanted()
+		s.Received += e.received
+		s.Refused.add(e.refused)
+		sizes = append(sizes, e.largest)
+	}
+	for i := range asked {
+		if !wanted[i] {
+			return s, false
+		}
+		s.Asked += asked[i]
+		s.Due += min(asked[i], best[i])
+	}
+	slices.Sort(sizes)
+	for _, size := range sizes[max(len(sizes)-sparedRequests, 0):] {
+		s.Due -= size
+	}
+	return s, s.Due > 0 && s.Received < shortPart*s.Due
+}
+
+// Shortfalls returns the teams that received far less than others lately, the shortest
+// first. It is meant to be called once a second.
+func (c *Core) Shortfalls(now time.Time) []Shortfall { return c.ledger.shortfalls(now) }
+
+// Refused is what a gateway refused of one team without asking.
+type Refused struct {
+	Team     string  `cbor:"1,keyasint"`
+	Requests int     `cbor:"2,keyasint"`
+	Tokens   float64 `cbor:"3,keyasint"`
+	// Largest is the largest of these requests, in tokens.
+	Largest float64 `cbor:"4,keyasint"`
+}
+
+// Add counts one more request.
+func (r *Refused) Add(p Prompt) {
+	tokens := cost(p)
+	r.Requests++
+	r.Tokens += tokens
+	r.Largest = max(r.Largest, tokens)
+}
+
+// RefusedElsewhere takes what a gateway refused without asking.
+func (c *Core) RefusedElsewhere(now time.Time, refused []Refused) {
+	for _, r := range refused {
+		if r.Team == "" || r.Requests <= 0 || r.Tokens <= 0 {
+			continue
+		}
+		e := c.ledger.entry(r.Team, c.ledger.at(now))
+		e.asked += r.Tokens
+		e.largest = max(e.largest, r.Largest)
+		e.refused.ByGateway += r.Requests
+	}
+}
--- a/fleet/dispatch/placed.go
+++ b/fleet/dispatch/placed.go
@@ -7,11 +7,14 @@
 	engine  *engine
 	unread  float64
 	reading bool
+	begun   bool // its answer has
 	// ahead is the tokens that the engine had to read when the request was placed, its
 	// own included, and since when that was.
 	ahead  float64
 	since  time.Time
 	prompt Prompt
+	// onTimeUntil is the time at which its objective passes; zero is not known.
+	onTimeUntil time.Time
 	// kept is the engine's memory at the start at which it got the request, and used
 	// the pieces there.
 	kept *prefixes
@@ -84,6 +87,7 @@
 	}
 	p := c.place(now, s.Key, e, s.Team, s.Prompt, unread)
 	if s.Begun {
+		p.begun = true
 		p.hasRead()
 	}
 	if !counted {
@@ -97,7 +101,12 @@
 // Begun takes that the upstream has begun to answer.
 func (c *Core) Begun(now time.Time, key Key) {
 	p := c.placed[key]
-	if p == nil || !p.reading {
+	if p == nil || p.begun {
+		return
+	}
+	p.begun = true
+	c.record(now, p)
+	if !p.reading {
 		return
 	}
 	p.reading = false
@@ -110,6 +119,17 @@
 	}
 }
 
+// record enters a request that begins into the ledger.
+func (c *Core) record(now time.Time, p *placed) {
+	if p.team == "" || p.prompt.Tokens == 0 {
+		return
+	}
+	c.ledger.began(now, p.team, cost(p.prompt))
+	if !p.onTimeUntil.IsZero() && now.After(p.onTimeUntil) {
+		c.ledger.waited(p.onTimeUntil, now, p.team)
+	}
+}
+
 // worked notes that an upstream has answered.
 func (c *Core) worked(e *engine) {
 	if !e.suspendedUntil.IsZero() {
--- a/fleet/dispatch/request.go
+++ b/fleet/dispatch/request.go
@@ -68,6 +68,10 @@
 	Repeatable bool `cbor:"10,keyasint,omitempty"`
 }
 
+// counted reports whether the request counts for its team: resumed ones were counted
+// before.
+func (r *Request) counted() bool { return r.Team != "" && r.Prompt.Tokens > 0 && !r.Resumed }
+
 // Weight is what a request counts for among the fleet's requests.
 func (r *Request) Weight() float64 { return 1 + cost(r.Prompt) }
 
--- a/fleet/wire/serve.go
+++ b/fleet/wire/serve.go
@@ -29,6 +29,9 @@
 	Accounts []dispatch.Account `cbor:"16,keyasint,omitempty"`
 	// Words are what upstreams have said of themselves to this gateway.
 	Words []dispatch.Word `cbor:"17,keyasint,omitempty"`
+	// Refused is what the gateway refused without asking since its last frame with a
+	// ping.
+	Refused []dispatch.Refused `cbor:"20,keyasint,omitempty"`
 
 	// Welcome is the controller's first word.
 	Welcome *Welcome `cbor:"10,keyasint,omitempty"`
@@ -93,5 +96,5 @@
 func (s *Serve) Empty() bool {
 	return s.Hello == nil && s.Ping == 0 && len(s.Places) == 0 && len(s.Sent) == 0 && len(s.Begun) == 0 &&
 		len(s.Ended) == 0 && s.Welcome == nil && s.Pong == 0 && s.Configuration == nil && s.Upstreams == nil &&
-		len(s.Decisions) == 0 && s.Gateways == 0 && len(s.Accounts) == 0 && len(s.Words) == 0 && s.Change == nil && s.Portion == 0
+		len(s.Decisions) == 0 && s.Gateways == 0 && len(s.Accounts) == 0 && len(s.Words) == 0 && len(s.Refused) == 0 && s.Change == nil && s.Portion == 0
 }
--- a/gateway/internal/controller/link.go
+++ b/gateway/internal/controller/link.go
@@ -85,7 +85,8 @@
 	snapshot *configuration.Snapshot
 	last     string // the leader of the link before
 
-	known atomic.Pointer[[]string] // addresses of controllers
+	known   atomic.Pointer[[]string] // addresses of controllers
+	refused refused
 	// wantWhole tells that the next link must bring all of the newest configuration.
 	wantWhole atomic.Bool
 }
@@ -344,6 +345,7 @@
 	}
 	l.out.Words = l.core.Words(time.Now())
 	if leader != l.last {
+		l.refused.forget()
 		l.out.Accounts = l.core.Accounts(time.Now())
 		l.last = leader
 	}
@@ -386,5 +388,6 @@
 	l.ping++
 	l.pings[l.ping] = steady.Now()
 	l.out.Ping = l.ping
+	l.out.Refused = l.refused.take()
 	l.flush()
 }
--- a/gateway/internal/controller/link_test.go
+++ b/gateway/internal/controller/link_test.go
@@ -307,3 +307,40 @@
 	first.set(func(f *leader) { f.conns[1].Close() })
 	eventually(t, "the second leader is not told", func() bool { return accounts(second) == 700 })
 }
+
+// TestLeaderHearsOfRefusals: what the gateway refuses without asking is told with the next
+// ping, once, and not to a leader that did not lead then.
+func TestLeaderHearsOfRefusals(t *testing.T) {
+	is := is.New(t)
+	told := func(l *leader) (requests int) {
+		l.set(func(l *leader) {
+			for _, f := range l.frames {
+				for _, r := range f.Refused {
+					requests += r.Requests
+					is.Equal(r.Team, "north")
+					is.Equal(r.Tokens, float64(900*r.Requests))
+				}
+			}
+		})
+		return requests
+	}
+	first, second := startLeader(t), startLeader(t)
+	l := startLink(t, []string{first.address}, time.Minute)
+	refuse := func(n int) {
+		for range n {
+			l.Refused("north", dispatch.Prompt{
+				Tokens: 900,
+			})
+		}
+	}
+	refuse(5) // before there was a leader
+	eventually(t, "not ready", func() bool { return l.View().Ready() })
+	refuse(2)
+	eventually(t, "the leader is not told", func() bool { return told(first) == 2 })
+	l.SetSeeds([]string{second.address})
+	first.set(func(f *leader) { f.conns[0].Close() })
+	eventually(t, "not linked", func() bool { return l.View().Leader == second.address })
+	refuse(1)
+	eventually(t, "the second leader is not told", func() bool { return told(second) == 1 })
+	is.Equal(told(first), 2)
+}
--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -42,6 +42,7 @@
 	Begun(id uint64)
 	Ended(id uint64, ending dispatch.Ending)
 	Told(w dispatch.Word)
+	Refused(team string, p dispatch.Prompt)
 }
 
 // Handler answers callers.
@@ -206,11 +207,6 @@
 		x.refuse(http.StatusServiceUnavailable, problem.NotReady, "no configuration yet", notReadyRetry)
 		return
 	}
-	if h.lag.shed() {
-		w.Header().Set("Connection", "close")
-		x.refuse(http.StatusServiceUnavailable, problem.TooManyWaiting, "this gateway is short of processor time", shedRetry)
-		return
-	}
 	if x.headTooLarge() {
 		w.Header().Set("Connection", "close")
 		x.refuse(http.StatusRequestHeaderFieldsTooLarge, problem.HeadTooLarge, "the head is too large", 0)
@@ -299,13 +295,27 @@
 		x.refuse(http.StatusServiceUnavailable, problem.Draining, "this gateway stops soon", drainRetry)
 		return false
 	}
+	if h.lag.shed() {
+		x.w.Header().Set("Connection", "close")
+		x.refuse(http.StatusServiceUnavailable, problem.TooManyWaiting, "this gateway is short of processor time", shedRetry)
+		x.unasked()
+		return false
+	}
 	if x.team != "" && !h.quiet.ask(x.quietKey(), x.arrived) {
+		x.unasked()
 		x.refuseFor(refusedLately, dispatch.Inputs{}, http.StatusTooManyRequests, problem.TooManyWaiting, overShare, x.soon())
 		return false
 	}
 	return true
 }
 
+// unasked tells the fleet that the request was refused without asking for a place.
+func (x *exchange) unasked() {
+	if x.team != "" && x.call.Prompt.Tokens > 0 {
+		x.handler.fleet.Refused(x.team, x.call.Prompt)
+	}
+}
+
 // refusedLately is the reason of refusals that a gateway repeats by itself.
 const refusedLately dispatch.Reason = "over_share_lately"
 
--- a/gateway/internal/serve/handler_test.go
+++ b/gateway/internal/serve/handler_test.go
@@ -44,6 +44,8 @@
 	refuse *dispatch.Decision
 	ended  []dispatch.Ending
 	words  []dispatch.Word
+	// refused are the tokens of teams that were refused without asking.
+	refused map[string]int
 }
 
 func (f *fakeFleet) View() *controller.View { return &f.view }
@@ -75,6 +77,15 @@
 	f.words = append(f.words, w)
 }
 
+func (f *fakeFleet) Refused(team string, p dispatch.Prompt) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refused == nil {
+		f.refused = make(map[string]int)
+	}
+	f.refused[team] += p.Tokens
+}
+
 // script is how one upstream answers a request; nothing written and false closes
 // the connection.
 type script func(w net.Conn, r *http.Request) bool
--- a/gateway/internal/serve/limits.go
+++ b/gateway/internal/serve/limits.go
@@ -100,6 +100,7 @@
 		x.refuse(http.StatusRequestEntityTooLarge, problem.BodyTooLarge, "the body is too large", 0)
 	case errors.Is(err, errNoRoom):
 		x.refuse(http.StatusServiceUnavailable, problem.TooManyWaiting, "this gateway has no memory for another body", shedRetry)
+		x.unasked()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.refuse(http.StatusRequestTimeout, problem.BodyTruncated, "the body did not come in time", 0)
 	default:
