dispatch: tests of fair shares while engines do less than is declared, failing

Four load patterns on modelled engines, compared in each span of six seconds that begins at a quarter second: six teams of different kinds of requests with engines at 1 to 0.25 of the declared speed; thirty teams with overlapping floods of small ones; a new leader twice; a gateway that refuses most of a team's requests.

--- a/bench/pages/pages_test.go
+++ b/bench/pages/pages_test.go
@@ -154,3 +154,32 @@
 		}
 	}
 }
+
+// TestKnownRed keeps names in the list of known failures that no test has any more out of
+// it.
+func TestKnownRed(t *testing.T) {
+	listed := all(`(?m)^(Test\w+) \(`, read(t, "KNOWN-RED.txt"))
+	for _, name := range listed {
+		if !slices.Contains(tests(t), name) {
+			t.Errorf("KNOWN-RED.txt lists %s, which is no test", name)
+		}
+	}
+}
+
+// tests returns the names of all tests of the repository.
+func tests(t *testing.T) []string {
+	t.Helper()
+	var text strings.Builder
+	err := filepath.WalkDir(root, func(path string, d os.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		text.Write(data)
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return all(`(?m)^func (Test\w+)\(`, text.String())
+}
--- a/fleet/dispatch/ledger.go
+++ b/fleet/dispatch/ledger.go
@@ -52,8 +52,8 @@
 	}
 }
 
-// Shortfall tells that a team received less than half of what was due to it within
-// the last six seconds, though it was refused or kept waiting in each of them.
+// Shortfall compares what a team received within six seconds with what was due to it,
+// though it was refused or kept waiting in each of them.
 type Shortfall struct {
 	Team string
 	// Asked, Due and Received are tokens. Due sums, over the seconds, what the team
@@ -141,8 +141,20 @@
 }
 
 // shortfalls returns the teams that are short in the span that ended when the present
-// slot began, the shortest first, and forgets teams without a request in it.
+// slot began, the shortest first.
 func (l *ledger) shortfalls(now time.Time) []Shortfall {
+	wanting := l.wanting(now)
+	i := slices.IndexFunc(wanting, func(s Shortfall) bool { return s.Part() >= shortPart })
+	if i < 0 {
+		return wanting
+	}
+	return wanting[:i]
+}
+
+// wanting returns the teams that wanted more in each second of the span that ended when
+// the present slot began, those that received the least part of their due first, and
+// forgets teams without a request in it.
+func (l *ledger) wanting(now time.Time) []Shortfall {
 	end := l.at(now)
 	begin := end - fairSeconds*l.slots
 	var best [fairSeconds]float64
@@ -165,7 +177,7 @@
 	}
 	var out []Shortfall
 	for team, entries := range l.teams {
-		if s, short := l.shortfall(entries, begin, end, &best); short {
+		if s, wanted := l.sum(entries, begin, end, &best); wanted {
 			s.Team = team
 			out = append(out, s)
 		}
@@ -182,8 +194,9 @@
 	return out
 }
 
-// shortfall sums a team's entries of a span and reports whether it is short.
-func (l *ledger) shortfall(entries []entry, begin, end int64, best *[fairSeconds]float64) (Shortfall, bool) {
+// sum adds up a team's entries of a span and reports whether it wanted more in each
+// second and something was due to it.
+func (l *ledger) sum(entries []entry, begin, end int64, best *[fairSeconds]float64) (Shortfall, bool) {
 	var s Shortfall
 	var asked [fairSeconds]float64
 	var wanted [fairSeconds]bool
@@ -211,7 +224,7 @@
 	for _, size := range sizes[max(len(sizes)-sparedRequests, 0):] {
 		s.Due -= size
 	}
-	return s, s.Due > 0 && s.Received < shortPart*s.Due
+	return s, s.Due > 0
 }
 
 // Shortfalls returns the teams that received far less than others lately, the shortest
--- a/fleet/dispatch/model_test.go
+++ b/fleet/dispatch/model_test.go
@@ -80,6 +80,8 @@
 	engines map[string]*engineModel
 	events  []due
 	nextID  uint64
+	// ledger holds what the engines began and what was refused, if it is set.
+	ledger *ledger
 }
 
 func table() *configuration.Table {
@@ -238,6 +240,7 @@
 		g.asked++
 	}
 	d := w.core.Place(w.now, gateway, r)
+	w.record(r, d)
 	if d.Upstream == "" {
 		return
 	}
@@ -257,6 +260,7 @@
 	asked := w.now
 	w.at(first, func() {
 		w.core.Begun(w.now, key)
+		w.recordBegun(r, asked)
 		for _, g := range groups {
 			g.begun++
 			g.tokens += cost(r.Prompt)
@@ -267,3 +271,25 @@
 	})
 	w.at(first.Add(time.Duration(l.output)*8*time.Millisecond), func() { w.core.Ended(w.now, key, Answered) })
 }
+
+// record enters a request and its refusal into the world's own ledger.
+func (w *world) record(r Request, d Decision) {
+	if w.ledger == nil {
+		return
+	}
+	w.ledger.asked(w.now, r.Team, cost(r.Prompt))
+	if d.Upstream == "" {
+		w.ledger.refused(w.now, r.Team, refusalFor(d.Reason))
+	}
+}
+
+// recordBegun enters a request that an engine begins to answer.
+func (w *world) recordBegun(r Request, asked time.Time) {
+	if w.ledger == nil {
+		return
+	}
+	w.ledger.began(w.now, r.Team, cost(r.Prompt))
+	if onTime := asked.Add(r.Objective); w.now.After(onTime) {
+		w.ledger.waited(onTime, w.now, r.Team)
+	}
+}
