--- a/gateway/internal/serve/quiet.go
+++ b/fleet/dispatch/quiet.go
@@ -1,17 +1,17 @@
-package serve
+package dispatch
 
 import (
 	"sync"
 	"time"
 )
 
-// quietKey is what a refusal holds for.
-type quietKey struct {
-	team  string
-	route string
+// QuietKey is what a refusal holds for.
+type QuietKey struct {
+	Team  string
+	Route string
 }
 
-// Figures of quiet.
+// Figures of a Quiet.
 const (
 	// maxQuiet is how many teams and routes are remembered before old ones are
 	// dropped.
@@ -31,17 +31,17 @@
 	most  int       // how many may
 }
 
-// quiet keeps a flood from asking the leader about each of its requests: after a
+// Quiet keeps a flood from asking the leader about each of its requests: after a
 // refusal the gateway refuses the same team on the same route by itself for a
 // short time, and then asks about few of them at once, about more as they are
-// given places.
-type quiet struct {
+// given places. It is safe for use by several goroutines.
+type Quiet struct {
 	mu   sync.Mutex
-	keys map[quietKey]*asking
+	keys map[QuietKey]*asking
 }
 
-// ask reports whether the leader may be asked, and counts the question.
-func (q *quiet) ask(key quietKey, now time.Time) bool {
+// Ask reports whether the leader may be asked, and counts the question.
+func (q *Quiet) Ask(key QuietKey, now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	a := q.keys[key]
@@ -59,9 +59,9 @@
 	return true
 }
 
-// answered takes the answer to a question: for how long all are refused, or zero
+// Answered takes the answer to a question: for how long all are refused, or zero
 // for a place.
-func (q *quiet) answered(key quietKey, now time.Time, refusedFor time.Duration) {
+func (q *Quiet) Answered(key QuietKey, now time.Time, refusedFor time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	a := q.keys[key]
@@ -72,7 +72,7 @@
 		q.drop(now)
 		a = &asking{}
 		if q.keys == nil {
-			q.keys = make(map[quietKey]*asking)
+			q.keys = make(map[QuietKey]*asking)
 		}
 		q.keys[key] = a
 	}
@@ -87,7 +87,7 @@
 }
 
 // drop makes room; mu is held.
-func (q *quiet) drop(now time.Time) {
+func (q *Quiet) drop(now time.Time) {
 	if len(q.keys) < maxQuiet {
 		return
 	}
--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -61,7 +61,7 @@
 	drainEnd atomic.Int64 // Unix nanoseconds; zero while not draining
 	pace     pace
 	lag      Lag
-	quiet    quiet
+	quiet    dispatch.Quiet
 	limits   Limits
 	bodies   memory
 
@@ -301,7 +301,7 @@
 		x.unasked()
 		return false
 	}
-	if x.team != "" && !h.quiet.ask(x.quietKey(), x.arrived) {
+	if x.team != "" && !h.quiet.Ask(x.quietKey(), x.arrived) {
 		x.unasked()
 		x.refuseFor(refusedLately, dispatch.Inputs{}, http.StatusTooManyRequests, problem.TooManyWaiting, overShare, x.soon())
 		return false
@@ -322,17 +322,17 @@
 // overShare tells a caller why its team is refused.
 const overShare = "the team is over its share"
 
-func (x *exchange) quietKey() quietKey {
-	return quietKey{
-		team:  x.team,
-		route: x.route.Name,
+func (x *exchange) quietKey() dispatch.QuietKey {
+	return dispatch.QuietKey{
+		Team:  x.team,
+		Route: x.route.Name,
 	}
 }
 
 // answered tells what became of the question whether the team has a place.
 func (x *exchange) answered(refusedFor time.Duration) {
 	if x.team != "" && len(x.tried) == 0 {
-		x.handler.quiet.answered(x.quietKey(), time.Now(), refusedFor)
+		x.handler.quiet.Answered(x.quietKey(), time.Now(), refusedFor)
 	}
 }
 
