--- a/fleet/dispatch/fair_test.go
+++ b/fleet/dispatch/fair_test.go
@@ -33,6 +33,11 @@
 	// shed is the part of a team's requests that gateways refuse without asking; nil is
 	// none.
 	shed map[string]float64
+	// gateways is how many keep floods from asking, and through by how many of them a
+	// team's requests come; zero is none, and all.
+	gateways int
+	through  map[string]int
+	unsent   map[string]float64 // as in world
 	// disturb, if set, is called before each second.
 	disturb func(w *world, second int)
 }
@@ -49,6 +54,9 @@
 func (p fairPattern) run() fairOutcome {
 	w := newWorld(p.seed, 9)
 	w.ledger = newLedger(modelSlots)
+	w.gateways = make([]Quiet, p.gateways)
+	w.through = p.through
+	w.unsent = p.unsent
 	for _, e := range w.engines {
 		e.reads *= p.speed
 	}
@@ -327,3 +335,67 @@
 		})
 	}
 }
+
+// TestNoTeamIsShortThroughOneGateway: three teams flood alike, one through a single
+// gateway, which asks the leader about few of its requests, one through three, and one
+// through all sixty; three others ask for their shares and not much more.
+func TestNoTeamIsShortThroughOneGateway(t *testing.T) {
+	for _, speed := range []float64{1, 0.6} {
+		for name, load := range map[string][]load{
+			"chats":  {chats},
+			"labels": {labels},
+			"drafts": {drafts},
+			"mixed":  mixed,
+		} {
+			t.Run(fmt.Sprintf("%s, speed %.2f", name, speed), func(t *testing.T) {
+				is := is.New(t)
+				for seed := range uint64(4) {
+					clients := sixTeams(0.2)
+					for i := range 3 {
+						clients[i] = client{
+							team: fmt.Sprintf("flood %d", i),
+							load: load,
+							rate: constant(1.5),
+						}
+					}
+					out := fairPattern{
+						seed:     seed,
+						seconds:  24,
+						speed:    speed,
+						clients:  clients,
+						gateways: 60,
+						through: map[string]int{
+							"flood 0": 1,
+							"flood 1": 3,
+						},
+					}.run()
+					t.Logf("seed %d: %.2f at %v: %+v", seed, out.worst.Part(), out.at, out.worst)
+					is.Equal(out.short, 0)
+				}
+			})
+		}
+	}
+}
+
+// TestNoTeamIsShortWhoseRequestsAreUnsent: teams flood, and most of what the leader places
+// of one of them is not sent, since its gateway is slow. What never began does not count
+// as received.
+func TestNoTeamIsShortWhoseRequestsAreUnsent(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(4) {
+		clients := sixTeams(0.2)
+		slow := &clients[1+seed%2]
+		slow.rate = constant(2)
+		out := fairPattern{
+			seed:    seed,
+			seconds: 24,
+			speed:   1,
+			clients: clients,
+			unsent: map[string]float64{
+				slow.team: 0.7,
+			},
+		}.run()
+		t.Logf("seed %d: %.2f at %v: %+v", seed, out.worst.Part(), out.at, out.worst)
+		is.Equal(out.short, 0)
+	}
+}
--- a/fleet/dispatch/model_test.go
+++ b/fleet/dispatch/model_test.go
@@ -27,6 +27,9 @@
 	reads float64   // prompt tokens in a millisecond
 }
 
+// lateDecision is after which time a gateway tells that a decision came too late.
+const lateDecision = 65 * time.Millisecond
+
 // load is one kind of request of a pattern.
 type load struct {
 	class     string
@@ -82,6 +85,13 @@
 	nextID  uint64
 	// ledger holds what the engines began and what was refused, if it is set.
 	ledger *ledger
+	// gateways keep floods from asking, if there are any; a team's requests come through
+	// as many of them as through says, or all.
+	gateways []Quiet
+	through  map[string]int
+	// unsent is the part of a team's placed requests that are not sent, since the decision
+	// reaches the gateway too late.
+	unsent map[string]float64
 }
 
 func table() *configuration.Table {
@@ -239,8 +249,8 @@
 	for _, g := range groups {
 		g.asked++
 	}
-	d := w.core.Place(w.now, gateway, r)
-	w.record(r, d)
+	d, told := w.ask(r)
+	w.record(r, d, told)
 	if d.Upstream == "" {
 		return
 	}
@@ -248,6 +258,13 @@
 		Gateway: gateway,
 		ID:      r.ID,
 	}
+	if w.random.Float64() < w.unsent[team] {
+		w.at(w.now.Add(lateDecision), func() { w.core.Ended(w.now, key, Unsent) })
+		if w.ledger != nil {
+			w.ledger.refused(w.now, team, refusalFor(Busy))
+		}
+		return
+	}
 	unread := w.core.placed[key].unread
 	out.again += max(0, unread-float64(r.Prompt.Parts[len(r.Prompt.Parts)-1].Tokens))
 	e := w.engines[d.Upstream]
@@ -272,13 +289,45 @@
 	w.at(first.Add(time.Duration(l.output)*8*time.Millisecond), func() { w.core.Ended(w.now, key, Answered) })
 }
 
+// ask has a request placed, unless its gateway refuses it without asking.
+func (w *world) ask(r Request) (d Decision, asked bool) {
+	if len(w.gateways) == 0 {
+		return w.core.Place(w.now, gateway, r), true
+	}
+	through := w.through[r.Team]
+	if through == 0 {
+		through = len(w.gateways)
+	}
+	g := &w.gateways[w.random.IntN(through)]
+	key := QuietKey{
+		Team:  r.Team,
+		Route: r.Class,
+	}
+	if !g.Ask(key, w.now) {
+		refused := Refused{
+			Team: r.Team,
+		}
+		refused.Add(r.Prompt)
+		w.core.RefusedElsewhere(w.now, []Refused{refused})
+		return Decision{}, false
+	}
+	d = w.core.Place(w.now, gateway, r)
+	g.Answered(key, w.now, d.Quiet)
+	return d, true
+}
+
 // record enters a request and its refusal into the world's own ledger.
-func (w *world) record(r Request, d Decision) {
+func (w *world) record(r Request, d Decision, asked bool) {
 	if w.ledger == nil {
 		return
 	}
 	w.ledger.asked(w.now, r.Team, cost(r.Prompt))
-	if d.Upstream == "" {
+	switch {
+	case !asked:
+		w.ledger.refused(w.now, r.Team, Refusals{
+			ByGateway: 1,
+		})
+	case d.Upstream == "":
 		w.ledger.refused(w.now, r.Team, refusalFor(d.Reason))
 	}
 }
