dispatch: the first observations of a speed count more than later ones

Callers saw late answers and unequal service in the first seconds of a fleet whose engines read slower than the prior: each observation counted a tenth in its engine's speed and a hundredth in its service's, so that twenty of them left the estimate at 49 of 57 for engines that read 14. Until then too much is placed, and all of it is late.

The n-th observation now counts 1/(n+1), the prior being one of them, until that falls to the former weight. TestSpeedOfAColdFleet failed before (49.2 of 14.3; now 16.3).

Two bounds that had been set after a figure was seen are put back to their targets, and both tests failed with them before: TestSpeedIsLearned within a tenth (21.4 of 19.0; now 19.0), TestAllEnginesAtAThird 85 in 100 on time (0.80; now 0.94). Ruled out: larger weights throughout; they follow the noise of single requests.

--- a/fleet/dispatch/pattern_test.go
+++ b/fleet/dispatch/pattern_test.go
@@ -210,7 +210,7 @@
 		})
 		all := out.classes["draft"]
 		t.Logf("seed %d: %+v, read again %.0f", seed, *all, out.again)
-		is.True(all.onTime*4 >= all.begun*3)
+		is.True(all.onTime*100 >= all.begun*85)
 		least, most := all.tokens, 0.0
 		for _, r := range out.teams {
 			least, most = min(least, r.tokens), max(most, r.tokens)
--- a/fleet/dispatch/speed.go
+++ b/fleet/dispatch/speed.go
@@ -31,11 +31,13 @@
 type speed struct {
 	tokensPerMilli float64 // zero before the first observation
 	observed       time.Time
+	observations   int // since the engine's start
 }
 
 // speeds are those of a service.
 type speeds struct {
-	mean float64 // zero before the first observation
+	mean         float64 // zero before the first observation
+	observations int
 	// beside is what passes between the sending of a request and the news of its first
 	// event, beside the reading.
 	beside time.Duration
@@ -60,13 +62,17 @@
 	most := fastestPart * priorTokensPerMilli
 	seen := min(max(tokens/max(millis, tokens/most), slowestPart*priorTokensPerMilli), most)
 	own := e.speed.at(now, s.typical())
-	e.speed = speed{
-		tokensPerMilli: own + speedWeight*(seen-own),
-		observed:       now,
-	}
-	s.mean = s.typical() + serviceWeight*(seen-s.typical())
+	e.speed.observations++
+	s.observations++
+	e.speed.tokensPerMilli = own + weight(speedWeight, e.speed.observations)*(seen-own)
+	e.speed.observed = now
+	s.mean = s.typical() + weight(serviceWeight, s.observations)*(seen-s.typical())
 }
 
+// weight returns the weight of the n-th observation: the first ones count alike, with the
+// prior as one of them.
+func weight(least float64, n int) float64 { return max(least, 1/float64(n+1)) }
+
 // at returns the speed at a time, which fades to the typical one.
 func (s speed) at(now time.Time, typical float64) float64 {
 	if s.tokensPerMilli == 0 {
--- a/fleet/dispatch/speed_test.go
+++ b/fleet/dispatch/speed_test.go
@@ -26,7 +26,7 @@
 	}
 	own := e.speed.at(now, s.typical())
 	t.Logf("speed %.1f of %.1f, beside %v", own, reads, s.beside)
-	is.True(math.Abs(own-reads) < 0.2*reads)
+	is.True(math.Abs(own-reads) < 0.1*reads)
 	is.True(s.beside > beside/2 && s.beside < 2*beside)
 	is.True(s.typical() < priorTokensPerMilli)
 	is.True(math.Abs(e.speed.at(now.Add(time.Minute), s.typical())-s.typical()) < 0.01)
@@ -46,3 +46,19 @@
 	}
 	is.True(e.speed.at(begin, s.typical()) >= slowestPart*priorTokensPerMilli)
 }
+
+// TestSpeedOfAColdFleet: the first requests after a start of the core find engines that
+// read at a quarter of the prior. A few observations are enough to know it.
+func TestSpeedOfAColdFleet(t *testing.T) {
+	is := is.New(t)
+	const reads = priorTokensPerMilli / 4
+	var s speeds
+	now := begin
+	for i := range 20 {
+		e := &engine{}
+		now = now.Add(10 * time.Millisecond)
+		s.observe(now, e, 6000, reading(6000, reads))
+		t.Logf("observation %d: own %.1f, typical %.1f", i, e.speed.at(now, s.typical()), s.typical())
+	}
+	is.True(s.typical() < 1.5*reads)
+}
