dispatch: teams in shortage are served in the order of what they received

What callers saw: a team received far less than half of what another one did while both were refused in each second.

Cause: shares were max-min over the declared throughput and a window of 4.5 s, and nothing else. While engines do less than is declared, all teams are under their shares and the refusals are busy: they meet whose requests are short of objective, and never ask what a team has received. At the declared speed a team that comes back takes its whole window's share at once, and teams over their share are refused from engines with nothing to do whose prompts take longer than the bound for an idle engine, so that what they leave goes to the team that is ahead. The class of fault: a limit derived from a declared figure and a window, with first come, first served where the limit does not bind.

Change: start-time fair queueing over the teams that were refused lately, whatever the reason. The lead over the least served one shrinks what may be ahead of a request at an engine; a pause earns nothing; a lag beyond 0.3 s of the mean is not made up for, so that a team with few requests holds nobody back. A team over its share takes an idle engine with any prompt while another one is ahead of it. Lines of decisions have team_lead_ms.

--- a/fleet/dispatch/core.go
+++ b/fleet/dispatch/core.go
@@ -151,14 +151,12 @@
 	in.Ahead, in.Own = ahead, reading(best.own, best.speed)
 	kind := c.class(r.Class)
 	size := reading(kind.see(now, float64(r.Prompt.Tokens), best.own), best.speed)
-	objective := float64(r.Objective)
 	if !r.Resumed {
-		if over && ahead+size > c.idleBound(r, best.engine) {
-			c.shares.team(r.Team).refused = c.shares.slot(now)
-			return c.refuse(now, r, OverShare, in)
-		}
-		if ahead > max(time.Duration(objectivePart*objective)-size, time.Duration(longPart*objective)) {
-			return c.refuse(now, r, Busy, in)
+		if reason := c.refusal(r, best.engine, ahead, size, over); reason != "" {
+			if r.Team != "" {
+				c.shares.team(r.Team).refused = c.shares.slot(now)
+			}
+			return c.refuse(now, r, reason, in)
 		}
 	}
 	kind.admit(float64(r.Prompt.Tokens))
@@ -175,6 +173,32 @@
 	}
 }
 
+// refusal returns why a request is refused whose best engine has this much to read ahead
+// of it, or "" if it is placed. Size is how long the request's own reading counts.
+func (c *Core) refusal(r Request, e *engine, ahead, size time.Duration, over bool) Reason {
+	objective := float64(r.Objective)
+	left, outrun := 1.0, false
+	if r.Team != "" {
+		t := c.shares.team(r.Team)
+		left, outrun = room(c.shares.lead(t)), c.shares.outrun(t)
+	}
+	switch {
+	case over && outrun:
+		// An engine with nothing to do takes a prompt of any length: it would otherwise go
+		// to the team that is ahead.
+		if ahead > time.Duration(left*float64(c.idleBound(r, e))) {
+			return OverShare
+		}
+	case over && ahead+size > c.idleBound(r, e):
+		return OverShare
+	case left < 1 && ahead > time.Duration(left*objectivePart*objective):
+		return OverShare
+	case ahead > max(time.Duration(objectivePart*objective)-size, time.Duration(longPart*objective)):
+		return Busy
+	}
+	return ""
+}
+
 // idleBound returns how long an engine may take to read what is sent to it to have it
 // for a team over its share.
 func (c *Core) idleBound(r Request, e *engine) time.Duration {
@@ -193,8 +217,10 @@
 		Running:   int(best.running),
 	}
 	if r.Team != "" && c.shares.level > 0 {
-		in.Received = int64(c.shares.team(r.Team).admitted.total)
+		t := c.shares.team(r.Team)
+		in.Received = int64(t.admitted.total)
 		in.Share = int64(min(c.shares.level, maxShare))
+		in.Lead = c.shares.lead(t)
 	}
 	return in
 }
--- a/fleet/dispatch/placed.go
+++ b/fleet/dispatch/placed.go
@@ -39,7 +39,9 @@
 		return
 	}
 	p.slot = c.shares.slot(now)
-	c.shares.team(p.team).admitted.add(p.slot, cost(p.prompt))
+	t := c.shares.team(p.team)
+	t.admitted.add(p.slot, cost(p.prompt))
+	c.shares.charge(t, cost(p.prompt))
 }
 
 // giveBack takes back what a request was counted for that has not begun.
@@ -49,6 +51,7 @@
 	}
 	if t := c.shares.teams[p.team]; t != nil {
 		t.admitted.remove(p.slot, cost(p.prompt))
+		t.tag -= cost(p.prompt)
 	}
 }
 
--- a/fleet/dispatch/request.go
+++ b/fleet/dispatch/request.go
@@ -115,6 +115,8 @@
 	// what it is owed; both are zero while teams are not counted.
 	Received int64 `cbor:"7,keyasint,omitempty"`
 	Share    int64 `cbor:"8,keyasint,omitempty"`
+	// Lead is how far the team was ahead of others that want more.
+	Lead time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // Reason tells why a request is refused.
--- a/fleet/dispatch/share.go
+++ b/fleet/dispatch/share.go
@@ -8,9 +8,9 @@
 const (
 	// buckets is how many parts a window of shares has.
 	buckets = 30
-	// hungryBuckets is for how many of them a team that was refused counts as one
-	// that wants more.
-	hungryBuckets = 8
+	// wantingBuckets is for how many of them a team that was refused counts as one that
+	// wants more.
+	wantingBuckets = 8
 	// maxLenience bounds how far a team that received less is preferred.
 	maxLenience = 4.0
 	// maxShare is the largest share that is reported, in tokens; a level without
@@ -61,10 +61,17 @@
 type team struct {
 	asked    window
 	admitted window
-	// refused is the slot in which a request was last refused for the share.
+	// refused is the slot in which a request was last refused for the share or because
+	// all engines were busy.
 	refused int64
+	// tag is the virtual time at which the team's next request starts, in tokens.
+	tag float64
 }
 
+// wants reports whether the team was refused so lately that it counts as one that wants
+// more.
+func (t *team) wants(slot int64) bool { return slot-t.refused <= wantingBuckets }
+
 // shares holds what teams asked for and were admitted within the window.
 type shares struct {
 	bucket time.Duration
@@ -73,9 +80,13 @@
 	level     float64
 	levelSlot int64
 	scratch   []float64
-	// hungry is the mean of what those teams were admitted that were refused for
-	// their share lately; zero when there are none.
-	hungry float64
+	// wanting is the mean of what the teams that want more were admitted within the
+	// window, in tokens; zero when there are none. rate is the same in a second.
+	wanting float64
+	rate    float64
+	// virtual is the virtual time and largest the largest tag of a team, in tokens.
+	virtual float64
+	largest float64
 }
 
 func newShares(span time.Duration) *shares {
@@ -104,17 +115,14 @@
 	}
 	s.levelSlot = slot
 	s.scratch = s.scratch[:0]
-	hungry, sum := 0, 0.0
 	s.prune(slot)
+	var x standing
 	for _, t := range s.teams {
 		s.scratch = append(s.scratch, t.asked.total)
-		if slot-t.refused <= hungryBuckets {
-			hungry++
-			sum += t.admitted.total
-		}
+		x.add(t, t.wants(slot), s.virtual)
 	}
 	s.level = level(s.scratch, capacity)
-	s.hungry = sum / float64(max(hungry, 1))
+	s.advance(x)
 }
 
 // prune brings all accounts up to a slot and forgets teams that have nothing in the
@@ -132,10 +140,10 @@
 // lenience returns by how much the bound for teams over their share is widened
 // or narrowed for this team, so that teams which are refused receive alike.
 func (s *shares) lenience(t *team) float64 {
-	if s.hungry <= 0 || t.admitted.total <= 0 {
+	if s.wanting <= 0 || t.admitted.total <= 0 {
 		return 1
 	}
-	ratio := s.hungry / t.admitted.total
+	ratio := s.wanting / t.admitted.total
 	return min(ratio*ratio*ratio, maxLenience)
 }
 
--- a/fleet/trace/explain.go
+++ b/fleet/trace/explain.go
@@ -75,8 +75,12 @@
 func refusal(l Line) string {
 	switch l.Text(KeyReason) {
 	case "over_share":
-		return fmt.Sprintf("team %s had %.0f tokens of the %.0f that it is owed within the window, and the best of %.0f upstreams has %.0f ms to read before it and %.0f ms for it",
-			l.Text(KeyTeam), l.Number(KeyReceived), l.Number(KeyShare), l.Number(KeyUsable), l.Number(KeyAhead), l.Number(KeyOwn))
+		lead := ""
+		if ms := l.Number(KeyLead); ms > 0 {
+			lead = fmt.Sprintf(", it was %.0f ms ahead of other teams that want more", ms)
+		}
+		return fmt.Sprintf("team %s had %.0f tokens of the %.0f that it is owed within the window%s, and the best of %.0f upstreams has %.0f ms to read before it and %.0f ms for it",
+			l.Text(KeyTeam), l.Number(KeyReceived), l.Number(KeyShare), lead, l.Number(KeyUsable), l.Number(KeyAhead), l.Number(KeyOwn))
 	case "over_share_lately":
 		return "team " + l.Text(KeyTeam) + " was refused for its share on this route a moment before"
 	case "busy":
--- a/fleet/trace/explain_test.go
+++ b/fleet/trace/explain_test.go
@@ -112,3 +112,21 @@
 		}
 	})
 }
+
+// TestRefusalOfATeamAhead explains why a team was refused that has not got its share.
+func TestRefusalOfATeamAhead(t *testing.T) {
+	is := is.New(t)
+	got := refusal(Line{
+		Fields: map[string]any{
+			KeyReason:   "over_share",
+			KeyTeam:     "north",
+			KeyReceived: 30_000.0,
+			KeyShare:    40_000.0,
+			KeyLead:     800.0,
+			KeyUsable:   4.0,
+			KeyAhead:    120.0,
+			KeyOwn:      16.0,
+		},
+	})
+	is.Equal(got, "team north had 30000 tokens of the 40000 that it is owed within the window, it was 800 ms ahead of other teams that want more, and the best of 4 upstreams has 120 ms to read before it and 16 ms for it")
+}
--- a/fleet/trace/step.go
+++ b/fleet/trace/step.go
@@ -38,6 +38,7 @@
 	KeyUsable     = "usable_upstreams"
 	KeyReceived   = "team_received"
 	KeyShare      = "team_share"
+	KeyLead       = "team_lead_ms"
 	KeyStatus     = "status"
 	KeyReason     = "reason"
 	KeyRetryAfter = "retry_after_ms"
@@ -97,7 +98,8 @@
 	dst = append(dst, slog.Int(KeyUsable, in.Usable), slog.Int(KeyRunning, in.Running),
 		millis(KeyAhead, in.Ahead), millis(KeyOwn, in.Own), millis(KeyObjective, in.Objective))
 	if in.Share > 0 {
-		dst = append(dst, slog.Int64(KeyReceived, in.Received), slog.Int64(KeyShare, in.Share))
+		dst = append(dst, slog.Int64(KeyReceived, in.Received), slog.Int64(KeyShare, in.Share),
+			millis(KeyLead, in.Lead))
 	}
 	return dst
 }
