dispatch: what gateways refuse without asking counts as asked for

What callers saw: a team whose callers reach one crowded gateway received little, and the leader thought that it asked for little.

Cause: requests that a gateway refuses by itself (refused a moment ago, short of processor time, no memory for the body) were asked of nobody. The team's demand at the leader was too low, so the level of the others' shares was too high, and the team did not count as one that wants more, so that nobody ahead of it was held back.

Change: what gateways tell of these refusals counts as asked for, and makes the team one that wants more. TestRefusedByAGatewayIsAskedFor failed before.

--- a/fleet/dispatch/account_test.go
+++ b/fleet/dispatch/account_test.go
@@ -83,3 +83,28 @@
 	is.Equal(c.engines["a"].running, 0)
 	is.Equal(c.engines["b"].running, 2)
 }
+
+// TestRefusedByAGatewayIsAskedFor: a team most of whose requests a gateway refuses without
+// asking still asks for its share, and counts as one that wants more: the others' shares
+// are no larger than with its whole demand, and those who are ahead of it are held back.
+func TestRefusedByAGatewayIsAskedFor(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 9)
+	c := w.core
+	const window = fleetTokens * 4.5 // seconds of DefaultShareWindow
+	ahead := w.request("ahead", drafts)
+	c.Place(w.now, gateway, ahead)
+	c.shares.team("ahead").asked.add(c.shares.slot(w.now), window)
+	c.RefusedElsewhere(w.now, []Refused{
+		{
+			Team:     "north",
+			Requests: 400,
+			Tokens:   window,
+			Largest:  4000,
+		},
+	})
+	now := w.now.Add(time.Second)
+	c.Place(now, gateway, w.request("ahead", chats))
+	is.True(c.shares.level < 0.51*window)
+	is.True(c.shares.team("north").wants(c.shares.slot(now)))
+}
--- a/fleet/dispatch/ledger.go
+++ b/fleet/dispatch/ledger.go
@@ -248,7 +248,7 @@
 	r.Largest = max(r.Largest, tokens)
 }
 
-// RefusedElsewhere takes what a gateway refused without asking.
+// RefusedElsewhere takes what a gateway refused without asking. It counts as asked for.
 func (c *Core) RefusedElsewhere(now time.Time, refused []Refused) {
 	for _, r := range refused {
 		if r.Team == "" || r.Requests <= 0 || r.Tokens <= 0 {
@@ -258,5 +258,8 @@
 		e.asked += r.Tokens
 		e.largest = max(e.largest, r.Largest)
 		e.refused.ByGateway += r.Requests
+		t, slot := c.shares.team(r.Team), c.shares.slot(now)
+		t.asked.add(slot, r.Tokens)
+		t.refused = slot
 	}
 }
