dispatch: an upstream is tried after a suspension also without repeatable requests

What callers saw: a service whose requests may not be repeated had half of its capacity for good after its upstream had failed once; all further requests shared the rest.

Cause: only a request that may be repeated tries a suspended upstream, and none came. Such an upstream is now tried by any request, one at a time, if no repeatable one has come for half a second after the suspension. What is sent is still sent once.

TestSuspendedUpstreamIsTriedByAnyRequest failed before. Looked for elsewhere: gateways, sidecars and the sharing of grants suspend nothing.

--- a/fleet/dispatch/core_test.go
+++ b/fleet/dispatch/core_test.go
@@ -199,3 +199,34 @@
 	is.Equal(failing(newCore(upstreamAt("a"))), firstSuspension)
 	is.Equal(failing(newCore(upstreamAt("a"), upstreamAt("b"))), longestSuspension)
 }
+
+// TestSuspendedUpstreamIsTriedByAnyRequest: an upstream of a service whose requests may
+// not be repeated failed and was suspended. Once no repeatable request has tried it for a
+// while, one of them does, and no second one before its end; then it is used again.
+func TestSuspendedUpstreamIsTriedByAnyRequest(t *testing.T) {
+	is := is.New(t)
+	c := newCore(upstreamAt("a"), upstreamAt("b"))
+	ask := func(id uint64, at time.Time) string {
+		return c.Place(at, "gateway", Request{
+			ID:       id,
+			Service:  "desk",
+			Excluded: []string{"b"},
+		}).Upstream
+	}
+	end := func(id uint64, at time.Time, ending Ending) {
+		c.Ended(at, Key{
+			Gateway: "gateway",
+			ID:      id,
+		}, ending)
+	}
+	is.Equal(ask(1, begin), "a")
+	end(1, begin, Unreachable)
+	free := begin.Add(firstSuspension)
+	is.Equal(ask(2, free), "") // a repeatable one may come
+	is.Equal(ask(3, free.Add(trialWait-1)), "")
+	is.Equal(ask(4, free.Add(trialWait)), "a")
+	is.Equal(ask(5, free.Add(trialWait)), "") // one at a time
+	end(4, free.Add(trialWait), Answered)
+	is.Equal(ask(6, free.Add(trialWait)), "a")
+	is.Equal(ask(7, free.Add(trialWait)), "a")
+}
--- a/fleet/dispatch/request.go
+++ b/fleet/dispatch/request.go
@@ -64,7 +64,7 @@
 	// Resumed tells that the request goes on with a stream that broke off, so
 	// that it must not be refused for its team's share.
 	Resumed bool `cbor:"9,keyasint,omitempty"`
-	// Repeatable requests may be given to an upstream that is on probation.
+	// Repeatable requests are the first to try an upstream after a suspension.
 	Repeatable bool `cbor:"10,keyasint,omitempty"`
 }
 
--- a/fleet/dispatch/settings.go
+++ b/fleet/dispatch/settings.go
@@ -63,6 +63,9 @@
 	// failed gets no requests; each failure in a row doubles the time.
 	firstSuspension   = 300 * time.Millisecond
 	longestSuspension = 5 * time.Second
+	// trialWait is how long after a suspension a request that may be repeated is waited for
+	// to try the upstream; then any request does.
+	trialWait = 500 * time.Millisecond
 	// failuresToSuspend is how many failures in a row suspend an upstream that
 	// still answers connections.
 	failuresToSuspend = 3
--- a/fleet/dispatch/upstream.go
+++ b/fleet/dispatch/upstream.go
@@ -55,6 +55,7 @@
 	if e.suspendedUntil.IsZero() {
 		return true
 	}
-	// After a suspension one request at a time shows whether it works again.
-	return repeatable && !e.probing
+	// After a suspension one request at a time shows whether it works again: one that may
+	// be repeated if such requests come.
+	return !e.probing && (repeatable || !now.Before(e.suspendedUntil.Add(trialWait)))
 }
