--- a/bench/internal/soak/faults.go
+++ b/bench/internal/soak/faults.go
@@ -57,7 +57,7 @@
 	}},
 	{"relay before an upstream", func(f *faults, _ context.Context, random *rand.Rand) { f.relay(f.upstream(random).relay, random) }},
 	{"upstream", func(f *faults, _ context.Context, random *rand.Rand) {
-		modes := []string{"crash", "hang", "reject", "lose", "fail", "spoil", "slow", "rest", "endless"}
+		modes := []string{"crash", "hang", "reject", "lose", "fail", "spoil", "slow", "reads slowly", "rest", "endless"}
 		f.upstream(random).Fault(modes[random.IntN(len(modes))], some(random, 3*time.Second))
 	}},
 	{"drain an upstream", func(f *faults, _ context.Context, random *rand.Rand) { f.drain(f.upstream(random), random) }},
--- a/bench/internal/soak/upstream.go
+++ b/bench/internal/soak/upstream.go
@@ -32,11 +32,17 @@
 	server   *http.Server
 	conns    map[net.Conn]bool
 	harms    spans
+
+	// reading is held while a prompt is read: one after the other.
+	reading sync.Mutex
 }
 
 // upstreamSlots is how many requests a stand-in says that it runs at once.
 const upstreamSlots = 32
 
+// readTime is how long a stand-in that reads slowly takes for a prompt.
+const readTime = 150 * time.Millisecond
+
 // maxRest is the longest time for which a stand-in wants no requests.
 const maxRest = 1500 * time.Millisecond
 
@@ -187,6 +193,10 @@
 	case fault == "lose" && spoil:
 		time.Sleep(10 * time.Millisecond)
 		panic(http.ErrAbortHandler)
+	case fault == "reads slowly" && a.Kind.stream():
+		u.reading.Lock()
+		time.Sleep(readTime)
+		u.reading.Unlock()
 	case fault == "slow":
 		time.Sleep(300 * time.Millisecond)
 	case fault == "endless" && spoil:
