dispatch: a team that is only ahead of others may ask again at once

What callers saw: after a refusal for a lead over other teams, the gateway refused the team's further requests on the route for 40 ms without asking, also those of teams far below their share. Cause: the refusal bore the reason of teams over their share, which is what keeps a gateway from asking. It has a reason of its own now, ahead; callers are told to come back within their objective, as before, and the next request is asked about.

TestTeamAheadMayAskAgain failed before (over_share, 40 ms).

--- a/fleet/dispatch/core.go
+++ b/fleet/dispatch/core.go
@@ -121,9 +121,12 @@
 	}
 	first, last := float64(minRetryAfter), float64(maxRetryAfter)
 	quiet := time.Duration(0)
-	if reason == OverShare {
-		first, last = FirstReturnPart*float64(r.Objective), LastReturnPart*float64(r.Objective)
+	switch reason {
+	case OverShare:
 		quiet = quietTime
+		fallthrough
+	case Ahead:
+		first, last = FirstReturnPart*float64(r.Objective), LastReturnPart*float64(r.Objective)
 	}
 	return Decision{
 		ID:         r.ID,
@@ -192,7 +195,7 @@
 	case over && ahead+size > c.idleBound(r, e):
 		return OverShare
 	case left < 1 && ahead > time.Duration(left*objectivePart*objective):
-		return OverShare
+		return Ahead
 	case ahead > max(time.Duration(objectivePart*objective)-size, time.Duration(longPart*objective)):
 		return Busy
 	}
--- a/fleet/dispatch/lead_test.go
+++ b/fleet/dispatch/lead_test.go
@@ -99,3 +99,30 @@
 	is.Equal(room(freeLead+leadScale), 0.5)
 	is.True(room(maxLead) < 0.02)
 }
+
+// TestTeamAheadMayAskAgain: a team that is under its share and refused since it is ahead of
+// others is told to come back soon, and its gateway may ask about its next request: only
+// a team over its share is kept from asking.
+func TestTeamAheadMayAskAgain(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 1)
+	c := w.core
+	for _, team := range []string{"ahead", "south"} {
+		c.Place(w.now, gateway, w.request(team, chats))
+	}
+	slot := c.shares.slot(w.now)
+	for _, team := range []string{"ahead", "south"} {
+		c.shares.team(team).refused = slot + 1
+	}
+	c.shares.charge(c.shares.team("ahead"), 20_000)
+	now := w.now.Add(2 * c.shares.bucket)
+	c.shares.team("south").asked.add(slot, 2000)
+	w.core.engines[engineName(0)].unread = engineReads * 200 // milliseconds
+	d := c.Place(now, gateway, w.request("ahead", chats))
+	is.Equal(d.Reason, Ahead)
+	is.Equal(d.Quiet, time.Duration(0))
+	is.True(d.RetryAfter <= time.Duration(LastReturnPart*float64(chats.objective)))
+	is.True(d.Inputs.Lead > freeLead)
+	is.True(d.Inputs.Received < d.Inputs.Share)
+	is.True(c.Place(now, gateway, w.request("south", chats)).Upstream != "")
+}
--- a/fleet/dispatch/ledger.go
+++ b/fleet/dispatch/ledger.go
@@ -20,6 +20,7 @@
 
 // Refusals counts refused requests by who refused them and why.
 type Refusals struct {
+	// OverShare are those for the team's share or its lead.
 	OverShare  int
 	Busy       int
 	NoUpstream int
@@ -37,7 +38,7 @@
 // refusalFor returns one refusal.
 func refusalFor(reason Reason) Refusals {
 	switch reason {
-	case OverShare:
+	case OverShare, Ahead:
 		return Refusals{
 			OverShare: 1,
 		}
--- a/fleet/dispatch/request.go
+++ b/fleet/dispatch/request.go
@@ -128,6 +128,9 @@
 	NoUpstream Reason = "no_upstream"
 	// OverShare: the team is over its share while engines are busy.
 	OverShare Reason = "over_share"
+	// Ahead: the team is not over its share, but received more than others that want more,
+	// while engines are busy. The team's next request may find room.
+	Ahead Reason = "ahead"
 	// Busy: no upstream can begin in time.
 	Busy Reason = "busy"
 )
--- a/fleet/trace/explain.go
+++ b/fleet/trace/explain.go
@@ -74,7 +74,7 @@
 // refusal explains a line about a refusal.
 func refusal(l Line) string {
 	switch l.Text(KeyReason) {
-	case "over_share":
+	case "over_share", "ahead":
 		lead := ""
 		if ms := l.Number(KeyLead); ms > 0 {
 			lead = fmt.Sprintf(", it was %.0f ms ahead of other teams that want more", ms)
--- a/fleet/trace/explain_test.go
+++ b/fleet/trace/explain_test.go
@@ -118,7 +118,7 @@
 	is := is.New(t)
 	got := refusal(Line{
 		Fields: map[string]any{
-			KeyReason:   "over_share",
+			KeyReason:   "ahead",
 			KeyTeam:     "north",
 			KeyReceived: 30_000.0,
 			KeyShare:    40_000.0,
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -137,6 +137,8 @@
 	switch d.Reason {
 	case dispatch.OverShare:
 		x.refuseFor(d.Reason, d.Inputs, http.StatusTooManyRequests, problem.TooManyWaiting, overShare, retry)
+	case dispatch.Ahead:
+		x.refuseFor(d.Reason, d.Inputs, http.StatusTooManyRequests, problem.TooManyWaiting, "other teams received less", retry)
 	case dispatch.NoUpstream:
 		x.refuseFor(d.Reason, d.Inputs, http.StatusServiceUnavailable, problem.NoUpstream, "no upstream takes requests", retry)
 	default:
