dispatch: only the leader's core compares teams

A core now records only with Settings.Compare, which the leader's hub sets. TestLedgerOfACore checks a core without.

--- a/controller/internal/gateway/hub.go
+++ b/controller/internal/gateway/hub.go
@@ -110,7 +110,9 @@
 
 // reset forgets everything but the configuration, for a new term as leader.
 func (h *Hub) reset() {
-	h.core = dispatch.New(dispatch.Settings{}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	h.core = dispatch.New(dispatch.Settings{
+		Compare: true,
+	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	h.conns = make(map[string]*conn)
 	h.replies = make(map[*conn][]dispatch.Decision)
 	h.upstreams = nil
--- a/fleet/dispatch/core.go
+++ b/fleet/dispatch/core.go
@@ -32,7 +32,7 @@
 	if settings.Portion == 0 {
 		settings.Portion = 1
 	}
-	return &Core{
+	c := &Core{
 		settings: settings,
 		random:   random,
 		services: make(map[string][]*engine),
@@ -41,8 +41,11 @@
 		shares:   newShares(settings.ShareWindow),
 		classes:  make(map[string]*class),
 		speeds:   make(map[string]*speeds),
-		ledger:   newLedger(coreSlots),
 	}
+	if settings.Compare {
+		c.ledger = newLedger(coreSlots)
+	}
+	return c
 }
 
 // SetPortion tells which part of the fleet's requests this core sees, over 0 and up
--- a/fleet/dispatch/lead.go
+++ b/fleet/dispatch/lead.go
@@ -59,8 +59,8 @@
 
 // advance moves the virtual time on. While no team wants more, none is ahead of others.
 func (s *shares) advance(x standing) {
-	s.wanting = x.admitted / float64(max(x.wanting, 1))
-	s.rate = s.wanting / (buckets * s.bucket).Seconds()
+	s.meanWanting = x.admitted / float64(max(x.wanting, 1))
+	s.rate = s.meanWanting / (buckets * s.bucket).Seconds()
 	s.largest = max(x.largest, s.virtual)
 	if x.wanting == 0 {
 		s.virtual = s.largest
--- a/fleet/dispatch/ledger.go
+++ b/fleet/dispatch/ledger.go
@@ -82,7 +82,7 @@
 func (e *entry) wanted() bool { return e.waited || e.refused != Refusals{} }
 
 // ledger records what teams asked for and received, to find those that are short.
-// Requests count as received when their answers begin.
+// Requests count as received when their answers begin. A nil ledger records nothing.
 type ledger struct {
 	slot  time.Duration
 	slots int64 // in a second
@@ -120,21 +120,43 @@
 }
 
 func (l *ledger) asked(now time.Time, team string, tokens float64) {
+	if l == nil {
+		return
+	}
 	e := l.entry(team, l.at(now))
 	e.asked += tokens
 	e.largest = max(e.largest, tokens)
 }
 
 func (l *ledger) began(now time.Time, team string, tokens float64) {
+	if l == nil {
+		return
+	}
 	l.entry(team, l.at(now)).received += tokens
 }
 
 func (l *ledger) refused(now time.Time, team string, r Refusals) {
+	if l == nil {
+		return
+	}
 	l.entry(team, l.at(now)).refused.add(r)
 }
 
+func (l *ledger) refusedElsewhere(now time.Time, r Refused) {
+	if l == nil {
+		return
+	}
+	e := l.entry(r.Team, l.at(now))
+	e.asked += r.Tokens
+	e.largest = max(e.largest, r.Largest)
+	e.refused.ByGateway += r.Requests
+}
+
 // waited notes that a request has waited since its objective passed.
 func (l *ledger) waited(since, now time.Time, team string) {
+	if l == nil {
+		return
+	}
 	last := l.at(now)
 	for slot := max(l.at(since), last-l.kept()+1); slot <= last; slot++ {
 		l.entry(team, slot).waited = true
@@ -229,38 +251,10 @@
 }
 
 // Shortfalls returns the teams that received far less than others lately, the shortest
-// first. It is meant to be called once a second.
-func (c *Core) Shortfalls(now time.Time) []Shortfall { return c.ledger.shortfalls(now) }
-
-// Refused is what a gateway refused of one team without asking.
-type Refused struct {
-	Team     string  `cbor:"1,keyasint"`
-	Requests int     `cbor:"2,keyasint"`
-	Tokens   float64 `cbor:"3,keyasint"`
-	// Largest is the largest of these requests, in tokens.
-	Largest float64 `cbor:"4,keyasint"`
-}
-
-// Add counts one more request.
-func (r *Refused) Add(p Prompt) {
-	tokens := cost(p)
-	r.Requests++
-	r.Tokens += tokens
-	r.Largest = max(r.Largest, tokens)
-}
-
-// RefusedElsewhere takes what a gateway refused without asking. It counts as asked for.
-func (c *Core) RefusedElsewhere(now time.Time, refused []Refused) {
-	for _, r := range refused {
-		if r.Team == "" || r.Requests <= 0 || r.Tokens <= 0 {
-			continue
-		}
-		e := c.ledger.entry(r.Team, c.ledger.at(now))
-		e.asked += r.Tokens
-		e.largest = max(e.largest, r.Largest)
-		e.refused.ByGateway += r.Requests
-		t, slot := c.shares.team(r.Team), c.shares.slot(now)
-		t.asked.add(slot, r.Tokens)
-		t.refused = slot
+// first; none without Settings.Compare. It is meant to be called once a second.
+func (c *Core) Shortfalls(now time.Time) []Shortfall {
+	if c.ledger == nil {
+		return nil
 	}
+	return c.ledger.shortfalls(now)
 }
--- a/fleet/dispatch/ledger_test.go
+++ b/fleet/dispatch/ledger_test.go
@@ -82,6 +82,8 @@
 func TestLedgerOfACore(t *testing.T) {
 	is := is.New(t)
 	c := newCore(upstreamAt("a"))
+	is.Equal(len(c.Shortfalls(begin)), 0) // nothing is recorded
+	c.ledger = newLedger(coreSlots)
 	place := func(id uint64, excluded ...string) {
 		r := prompted(id)
 		r.Excluded = excluded
--- a/fleet/dispatch/settings.go
+++ b/fleet/dispatch/settings.go
@@ -9,6 +9,9 @@
 	// Portion is the part of the fleet's requests that this core sees: 1 at the
 	// leader, less where a gateway decides alone.
 	Portion float64
+	// Compare tells to record what each team asked for and received, for Shortfalls. Only
+	// a core that sees all requests can tell.
+	Compare bool
 }
 
 // Defaults and figures of a Core.
--- a/fleet/dispatch/share.go
+++ b/fleet/dispatch/share.go
@@ -80,10 +80,10 @@
 	level     float64
 	levelSlot int64
 	scratch   []float64
-	// wanting is the mean of what the teams that want more were admitted within the
+	// meanWanting is the mean of what the teams that want more were admitted within the
 	// window, in tokens; zero when there are none. rate is the same in a second.
-	wanting float64
-	rate    float64
+	meanWanting float64
+	rate        float64
 	// virtual is the virtual time and largest the largest tag of a team, in tokens.
 	virtual float64
 	largest float64
@@ -140,10 +140,10 @@
 // lenience returns by how much the bound for teams over their share is widened
 // or narrowed for this team, so that teams which are refused receive alike.
 func (s *shares) lenience(t *team) float64 {
-	if s.wanting <= 0 || t.admitted.total <= 0 {
+	if s.meanWanting <= 0 || t.admitted.total <= 0 {
 		return 1
 	}
-	ratio := s.wanting / t.admitted.total
+	ratio := s.meanWanting / t.admitted.total
 	return min(ratio*ratio*ratio, maxLenience)
 }
 
