--- a/bench/internal/soak/paused_test.go
+++ b/bench/internal/soak/paused_test.go
@@ -1,11 +1,8 @@
 package soak
 
 import (
-	"context"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -18,26 +15,14 @@
 // within which the key must be gone. The gateway's proof that its configuration is the
 // newest has run out while it stood still: nothing may run.
 func TestPausedGatewayServesNoOldKey(t *testing.T) {
-	bin := os.Getenv("BAOBABPADDLE_BIN")
-	if bin == "" {
-		t.Skip("BAOBABPADDLE_BIN names no folder with the programs; make test sets it")
-	}
 	is := is.New(t)
-	s, err := prepare(Options{
-		Bin:         bin,
-		Work:        filepath.Join(t.TempDir(), "soak"),
+	s, ctx := startReal(t, Options{
 		Seed:        1,
 		Controllers: 3,
 		Gateways:    1,
 		Upstreams:   1,
 		Network:     pausedNetwork,
 	})
-	is.NoErr(err)
-	defer s.notes.Close()
-	defer s.stopFleet()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	defer cancel()
-	is.NoErr(s.start(ctx))
 	random := rand.New(rand.NewPCG(2, 3))
 	s.operator.change(ctx, random)
 	key := s.operator.keys[0] // the next change takes it away
--- /dev/null
+++ b/bench/internal/soak/real_test.go
@@ -0,0 +1,31 @@
+package soak
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// startReal starts the processes of a run without faults, for a test that breaks them by
+// itself. They are stopped when the test ends; the context ends after a minute.
+func startReal(t *testing.T, o Options) (*Soak, context.Context) {
+	t.Helper()
+	o.Bin = os.Getenv("BAOBABPADDLE_BIN")
+	if o.Bin == "" {
+		t.Skip("BAOBABPADDLE_BIN names no folder with the programs; make test sets it")
+	}
+	o.Work = filepath.Join(t.TempDir(), "soak")
+	is := is.New(t)
+	s, err := prepare(o)
+	is.NoErr(err)
+	t.Cleanup(func() { s.notes.Close() })
+	t.Cleanup(s.stopFleet)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	is.NoErr(s.start(ctx))
+	return s, ctx
+}
--- a/bench/internal/soak/shares_test.go
+++ b/bench/internal/soak/shares_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -17,26 +15,14 @@
 // eight times as many through all. Over six seconds none receives less than half of what
 // the other one does.
 func TestFloodsShareSlowUpstreams(t *testing.T) {
-	bin := os.Getenv("BAOBABPADDLE_BIN")
-	if bin == "" {
-		t.Skip("BAOBABPADDLE_BIN names no folder with the programs; make test sets it")
-	}
 	is := is.New(t)
-	s, err := prepare(Options{
-		Bin:         bin,
-		Work:        filepath.Join(t.TempDir(), "soak"),
+	s, ctx := startReal(t, Options{
 		Seed:        1,
 		Controllers: 3,
 		Gateways:    3,
 		Upstreams:   2,
 		Network:     sharesNetwork,
 	})
-	is.NoErr(err)
-	defer s.notes.Close()
-	defer s.stopFleet()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	defer cancel()
-	is.NoErr(s.start(ctx))
 	// The first requests find empty upstreams and are read within four seconds.
 	const warm, span = 6 * time.Second, 6 * time.Second
 	for _, u := range s.upstreams {
