--- a/gateway/internal/serve/handler_test.go
+++ b/gateway/internal/serve/handler_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"log/slog"
 	"net"
@@ -35,57 +34,6 @@
 	"limits":{"max_body_bytes":1000,"max_header_bytes":2000},
 	"teams":[{"name":"north","keys":["key-1"]}]}`
 
-// fakeFleet places requests at its upstreams in turn.
-type fakeFleet struct {
-	mu     sync.Mutex
-	view   controller.View
-	order  []string
-	next   int
-	refuse *dispatch.Decision
-	ended  []dispatch.Ending
-	words  []dispatch.Word
-	// refused are the tokens of teams that were refused without asking.
-	refused map[string]int
-}
-
-func (f *fakeFleet) View() *controller.View { return &f.view }
-
-func (f *fakeFleet) Place(_ context.Context, r dispatch.Request) dispatch.Decision {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.refuse != nil {
-		return *f.refuse
-	}
-	f.next++
-	return dispatch.Decision{
-		ID:       r.ID,
-		Upstream: f.order[(f.next-1)%len(f.order)],
-	}
-}
-
-func (f *fakeFleet) Begun(uint64) {}
-
-func (f *fakeFleet) Ended(_ uint64, e dispatch.Ending) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.ended = append(f.ended, e)
-}
-
-func (f *fakeFleet) Told(w dispatch.Word) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.words = append(f.words, w)
-}
-
-func (f *fakeFleet) Refused(team string, p dispatch.Prompt) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.refused == nil {
-		f.refused = make(map[string]int)
-	}
-	f.refused[team] += p.Tokens
-}
-
 // script is how one upstream answers a request; nothing written and false closes
 // the connection.
 type script func(w net.Conn, r *http.Request) bool
