platform, trace: read the rate limits that upstreams state, and log them

No log said which limit an upstream stated, to whom and when, so that three hypotheses could not be told apart. No decision uses it yet.

--- a/fleet/call/call.go
+++ b/fleet/call/call.go
@@ -46,6 +46,8 @@
 	// Backoff is for how long this gateway must send no requests to the upstream; zero
 	// if it may go on.
 	Backoff time.Duration
+	// RateLimit is the rate of requests that the upstream accepts from the whole fleet.
+	RateLimit dispatch.RateLimit
 	// Signed is true if the answer carries the proof that an upstream produced it.
 	Signed bool
 }
--- a/fleet/trace/step.go
+++ b/fleet/trace/step.go
@@ -53,6 +53,7 @@
 	KeyLeaving         = "leaving"
 	KeyBackoff         = "rest_ms"
 	KeySegments        = "shared_segments"
+	KeyRateLimit       = "rate_limit_per_s"
 )
 
 // Step is a decision about a request or its result, which is written as one line.
@@ -158,6 +159,8 @@
 	// SharedSegments are the prompt's segments that other requests may share; set if the
 	// answer broke off.
 	SharedSegments []dispatch.PromptSegment
+	// RateLimit is what the answer said about the rate of requests that the upstream accepts.
+	RateLimit dispatch.RateLimit
 }
 
 func (s Tried) message() string { return MsgTried }
@@ -169,6 +172,12 @@
 	}
 	dst = appendText(dst, KeyCause, s.Cause)
 	dst = appendText(dst, KeyLastEvent, s.LastEvent)
+	switch {
+	case s.RateLimit.Stated:
+		dst = append(dst, slog.Float64(KeyRateLimit, s.RateLimit.PerSecond))
+	case s.RateLimit.Malformed:
+		dst = append(dst, slog.String(KeyRateLimit, "malformed"))
+	}
 	return appendText(dst, KeySegments, SegmentIDs(s.SharedSegments))
 }
 
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -244,6 +244,7 @@
 	step.Status = answer.Status
 	reply := h.protocol.ReadReply(answer.Status, answer.Header)
 	x.reportNotice(d.Upstream, reply)
+	step.RateLimit = reply.RateLimit
 	switch {
 	case reply.OtherUpstream:
 		step.Cause = "another upstream has the address"
