dispatch: requests are spaced by the rate limits that upstreams state

Callers saw nothing; upstreams in need got up to twelve times the rate that they had stated (23 to 94 requests in 4 s where 11 to 30 are allowed).

Class: a statement of a peer that no decision consumes.

Change: gateways report what the head of each answer states, also of rejections. The leader spaces requests of all kinds by the generic cell rate algorithm, four at most after a pause, none at once when the limit begins. A lower limit holds at once; a higher one, or none, if the answered request was placed after the last answer with the present one. Gateways without a decision of the leader use 0.6 of their part, after a random wait, and the leader counts what they report. Few starts go by the teams' received tokens: teams ahead use a third of a burst. The declared throughput, and so the shares, falls with the limits. Rejections above a limit are no failures.

--- a/controller/internal/gateway/hub.go
+++ b/controller/internal/gateway/hub.go
@@ -96,6 +96,10 @@
 	// read. recording is true while a change of them is proposed.
 	recorded  *recordedQuarantine
 	recording bool
+	// rateLimits are the rate limits that gateways were sent, in requests a second. Changes
+	// of the value of a limit are not sent before nextLimitChanges.
+	rateLimits       map[string]float64
+	nextLimitChanges time.Time
 	// fullFrame is the encoded active configuration, and deltaFrame its encoded change
 	// from version deltaBase. Each is nil before it is encoded.
 	fullFrame  link.Frame
@@ -130,6 +134,7 @@
 	h.conns = make(map[string]*conn)
 	h.replies = make(map[*conn][]dispatch.Decision)
 	h.upstreams = nil
+	h.rateLimits = nil
 	h.recorded = nil
 	if h.active != nil {
 		h.scheduler.SetConfiguration(h.active.table)
@@ -157,6 +162,7 @@
 		case now := <-ticker.C:
 			h.reportObservations(now)
 			h.maintainQuarantine(ctx, now)
+			h.publishRateLimits(now)
 			h.decayTraffic(now)
 			if len(h.conns) > 0 && !h.replicas.IsLeader() {
 				h.log.Info("leadership lost, links to gateways closed", "gateways", len(h.conns))
@@ -242,6 +248,10 @@
 	}
 	frame.Quarantine = h.scheduler.Quarantine().Records(time.Now())
 	frame.QuarantineComplete = true
+	for upstream, perSecond := range h.rateLimits {
+		frame.RateLimits = append(frame.RateLimits, dispatch.NewRateLimitReport(upstream, perSecond))
+	}
+	frame.RateLimitsComplete = true
 	if h.upstreams != nil && wire.UpstreamsHash(h.upstreams) != c.upstreamsHash {
 		frame.Upstreams = wire.FullUpdate(h.upstreams)
 	}
@@ -303,6 +313,9 @@
 			Started:  f.Started,
 		}, f.Counted)
 	}
+	for _, report := range frame.RateLimits {
+		h.scheduler.ApplyRateLimit(now, c.name, report)
+	}
 	for _, id := range frame.Started {
 		key.ID = id
 		h.scheduler.RecordStart(now, key)
--- a/controller/internal/gateway/measure.go
+++ b/controller/internal/gateway/measure.go
@@ -18,6 +18,8 @@
 	share float64                         // most tokens that a team may have within the window
 	teams int                             // teams with an account
 	short int                             // teams with a shortfall
+	// limited is the number of upstreams that state a rate limit.
+	limited int
 	// quarantined is the number of quarantined prompt segments.
 	quarantined int
 }
@@ -40,6 +42,7 @@
 	m.Gauge("controller_team_share_tokens", func() float64 { return s.latest.Load().share })
 	m.Gauge("controller_teams_short", func() float64 { return float64(s.latest.Load().short) })
 	m.Gauge("controller_segments_quarantined", func() float64 { return float64(s.latest.Load().quarantined) })
+	m.Gauge("controller_upstreams_rate_limited", func() float64 { return float64(s.latest.Load().limited) })
 	m.Gauge("controller_teams_counted", func() float64 { return float64(s.latest.Load().teams) })
 	return s
 }
@@ -62,6 +65,7 @@
 	short := scheduler.Shortfalls(now)
 	next.short = len(short)
 	next.quarantined = scheduler.Quarantine().Quarantined()
+	next.limited = len(scheduler.RateLimits())
 	s.latest.Store(next)
 	return short
 }
--- a/fleet/dispatch/bench_test.go
+++ b/fleet/dispatch/bench_test.go
@@ -10,19 +10,29 @@
 )
 
 // BenchmarkPlace decides on requests of two segments in fleets of three sizes: that of
-// existing fleets, a large one and the largest that the Scheduler is designed for.
+// existing fleets, a large one and the largest that the Scheduler is designed for, this one
+// also with a rate limit at each engine, in requests a second.
 func BenchmarkPlace(b *testing.B) {
-	for _, size := range []struct{ engines, teams int }{
-		{78, 60},
-		{300, 3_100},
-		{1_000, 31_000},
+	for _, size := range []struct {
+		engines, teams int
+		limit          float64
+	}{
+		{78, 60, 0},
+		{300, 3_100, 0},
+		{1_000, 31_000, 0},
+		{1_000, 31_000, 0.5},
 	} {
-		b.Run(fmt.Sprintf("engines=%d/teams=%d", size.engines, size.teams), func(b *testing.B) {
+		b.Run(fmt.Sprintf("engines=%d/teams=%d/limit=%v", size.engines, size.teams, size.limit), func(b *testing.B) {
 			random := rand.New(rand.NewPCG(1, 2))
 			c := New(Settings{}, rand.New(rand.NewPCG(3, 4)))
 			c.SetConfiguration(table())
 			c.SetUpstreams(upstreams(size.engines))
 			now := epoch
+			if size.limit > 0 {
+				for i := range size.engines {
+					c.ApplyRateLimit(now, gateway, NewRateLimitReport(engineName(i), size.limit))
+				}
+			}
 			id := uint64(0)
 			for b.Loop() {
 				id++
--- a/fleet/dispatch/choice.go
+++ b/fleet/dispatch/choice.go
@@ -53,6 +53,10 @@
 	speed float64
 	// usable is the number of upstreams that could have been chosen.
 	usable int
+	// paced is the upstream that takes requests first among those whose rate limits leave
+	// the request no start now, or nil if there are none. It does so in pacedFor.
+	paced    *engine
+	pacedFor time.Duration
 }
 
 // bestEngine returns the engine with the least cost for a request. The cost is in prompt
@@ -60,7 +64,8 @@
 // plus penalties for running requests, for prefilling shared segments again, for another
 // availability zone, for an engine that asked a peer for backoff or runs a trial, and for
 // missing slots. A trial goes to an engine with few other requests, which it may end.
-func (s *Scheduler) bestEngine(now time.Time, r Request, trial bool) choice {
+// Reserve is the part of a burst that the request may use at engines with a rate limit.
+func (s *Scheduler) bestEngine(now time.Time, r Request, trial bool, reserve float64) choice {
 	var best choice
 	var bestCost float64
 	engines := s.services[r.Service]
@@ -72,6 +77,9 @@
 		if !e.usable(now, r.Idempotent) || slices.Contains(r.Excluded, e.ID) {
 			continue
 		}
+		if e.pacer.limited() && !s.mayStart(now, e, reserve, &best) {
+			continue
+		}
 		best.usable++
 		speed := e.speed.at(now, typical)
 		uncached, shared := e.cache.uncachedTokens(r.Prompt)
--- a/fleet/dispatch/ledger.go
+++ b/fleet/dispatch/ledger.go
@@ -44,7 +44,7 @@
 		return Refusals{
 			OverShare: 1,
 		}
-	case Busy:
+	case Busy, RateLimited:
 		return Refusals{
 			Busy: 1,
 		}
--- a/fleet/dispatch/placement.go
+++ b/fleet/dispatch/placement.go
@@ -10,6 +10,7 @@
 	started    bool    // the response has begun
 	startedAt  time.Time
 	trial      bool // counts as a trial of quarantined segments
+	charged    bool // counted against the engine's rate limit
 	// backlogAtPlacement is the engine's prefill backlog in tokens, this request's
 	// included, at the time placedAt.
 	backlogAtPlacement float64
@@ -66,10 +67,11 @@
 }
 
 // place adds a request to an upstream's load. It replaces an earlier placement under the
-// same key and refunds that one's tokens.
+// same key, which was not sent, and refunds that one's tokens.
 func (s *Scheduler) place(now time.Time, key Key, e *engine, team string, prompt Prompt, uncached float64) *placedRequest {
 	if old := s.remove(key); old != nil {
 		s.refund(old)
+		s.refundStart(old)
 		s.abortTrial(now, old)
 	}
 	e.prefillBacklog += uncached
@@ -101,6 +103,9 @@
 		uncached, _ = e.cache.uncachedTokens(placement.Prompt)
 	}
 	p := s.place(now, placement.Key, e, placement.Team, placement.Prompt, uncached)
+	if !counted {
+		s.charge(now, p)
+	}
 	if placement.Started {
 		p.started = true
 		p.startedAt = now
@@ -111,6 +116,12 @@
 	}
 }
 
+// charge counts a placed request against its upstream's rate limit.
+func (s *Scheduler) charge(now time.Time, p *placedRequest) {
+	p.charged = p.engine.pacer.limited()
+	s.chargeStart(now, p.engine)
+}
+
 // IsPlaced reports whether a request is in flight at an upstream.
 func (s *Scheduler) IsPlaced(key Key) bool { return s.placed[key] != nil }
 
@@ -198,6 +209,14 @@
 	}
 	s.recordEvidence(now, p, outcome)
 	e := p.engine
+	if outcome == NotRun && e.pacer.limited() {
+		e.probing = false // it enforces its limit, which is no failure
+		return
+	}
+	switch outcome {
+	case Unsent, Unreachable, ConnectionRefused:
+		s.refundStart(p)
+	}
 	switch outcome {
 	case Answered, AnsweredError:
 		s.markWorking(e)
--- a/fleet/dispatch/request.go
+++ b/fleet/dispatch/request.go
@@ -135,6 +135,9 @@
 	Share    int64 `cbor:"8,keyasint,omitempty"`
 	// Lead is how far the team was ahead of the backlogged teams' virtual time.
 	Lead time.Duration `cbor:"9,keyasint,omitempty"`
+	// RateLimit is the rate limit, in requests a second, of the upstream that takes requests
+	// first, if all usable ones have a limit that is used up; otherwise zero.
+	RateLimit float64 `cbor:"11,keyasint,omitempty"`
 	// Quarantine is the record of the prompt's quarantined segment; nil if none is.
 	Quarantine *quarantine.Record `cbor:"10,keyasint,omitempty"`
 }
@@ -154,6 +157,8 @@
 	AheadOfOthers Reason = "ahead"
 	// Busy: no upstream can start the request in time.
 	Busy Reason = "busy"
+	// RateLimited: all usable upstreams have rate limits that are used up.
+	RateLimited Reason = "rate_limited"
 	// Quarantined: engines crashed with requests that hold one of the prompt's segments. A
 	// retry won't help if RetryAfter is zero.
 	Quarantined Reason = "quarantined"
--- a/fleet/dispatch/scheduler.go
+++ b/fleet/dispatch/scheduler.go
@@ -22,6 +22,10 @@
 	classes  map[string]*classSizes
 	speeds   map[string]*serviceSpeed
 	ledger   *ledger
+	// meanCosts are the mean tokens of the requests placed at each service.
+	meanCosts map[string]float64
+	// capacity is the part of the declared throughput that rate limits leave.
+	capacity float64
 	changes  []SuspensionChange
 	// quarantine holds the evidence against prompt segments. Started and crashedTrials are
 	// requests that become evidence at a later time, in its order.
@@ -56,8 +60,10 @@
 		placed:   make(map[Key]*placedRequest),
 		shares:   newShares(settings.ShareWindow),
 		classes:  make(map[string]*classSizes),
+		capacity: 1,
 		speeds:   make(map[string]*serviceSpeed),
 
+		meanCosts:  make(map[string]float64),
 		quarantine: quarantine.New(),
 	}
 	if settings.RecordShortfalls {
@@ -182,11 +188,15 @@
 	if r.countsForTeam() {
 		s.ledger.requested(now, r.Team, tokenCost(r.Prompt))
 	}
-	best := s.bestEngine(now, r, trial)
 	overShare := s.checkShare(now, r)
+	best := s.bestEngine(now, r, trial, s.startReserve(r, overShare))
 	in := s.inputs(r, best)
 	if best.engine == nil {
-		return s.refuse(now, r, NoUpstream, in)
+		if best.paced == nil {
+			return s.refuse(now, r, NoUpstream, in)
+		}
+		s.markRefused(now, r)
+		return s.refusePaced(now, r, best, overShare, in)
 	}
 	delay := prefillTime(best.prefillBacklog, best.speed)
 	in.QueueDelay, in.PrefillTime = delay, prefillTime(best.uncached, best.speed)
@@ -194,9 +204,7 @@
 	size := prefillTime(class.observe(now, float64(r.Prompt.Tokens), best.uncached), best.speed)
 	if !r.Resumed {
 		if reason := s.refusalReason(r, best.engine, delay, size, overShare); reason != "" {
-			if r.Team != "" {
-				s.shares.team(r.Team).lastRefused = s.shares.bucketAt(now)
-			}
+			s.markRefused(now, r)
 			return s.refuse(now, r, reason, in)
 		}
 	}
@@ -207,6 +215,8 @@
 	}
 	p := s.place(now, key, best.engine, r.Team, r.Prompt, best.uncached)
 	p.objectiveAt = now.Add(r.Objective)
+	s.charge(now, p)
+	s.observeCost(r.Service, tokenCost(r.Prompt))
 	s.admit(now, p)
 	if trial {
 		s.startTrial(now, p)
@@ -218,6 +228,13 @@
 	}
 }
 
+// markRefused marks the request's team as backlogged.
+func (s *Scheduler) markRefused(now time.Time, r Request) {
+	if r.Team != "" {
+		s.shares.team(r.Team).lastRefused = s.shares.bucketAt(now)
+	}
+}
+
 // refusalReason returns why a request is refused, or "" if it is placed. Delay is the
 // time for which its best engine is busy with prompts placed before it. Size is the
 // time that counts for the prefill of its own prompt. OverShare reports whether its
@@ -280,7 +297,11 @@
 		return false
 	}
 	span := s.settings.ShareWindow.Seconds()
-	capacity := s.table.Configuration.Limits.TokensPerSecond * span * s.settings.TrafficFraction
+	declared := s.table.Configuration.Limits.TokensPerSecond
+	if s.shares.levelBucket != s.shares.bucketAt(now) {
+		s.capacity = s.capacityFraction(declared)
+	}
+	capacity := declared * s.capacity * span * s.settings.TrafficFraction
 	s.shares.update(now, capacity)
 	if capacity <= 0 {
 		return false
@@ -319,6 +340,9 @@
 		if !e.usable(now, r.Idempotent) || slices.Contains(r.Excluded, e.ID) {
 			continue
 		}
+		if e.pacer.limited() && !s.mayStart(now, e, 1, &best) {
+			continue
+		}
 		best.usable++
 		running := float64(e.running) + unseen.running
 		load := running
@@ -335,16 +359,19 @@
 	}
 	in := s.inputs(r, best)
 	e := best.engine
-	if e == nil {
+	switch {
+	case e == nil && best.paced != nil:
+		return s.refusePaced(now, r, best, false, in)
+	case e == nil:
 		return s.refuse(now, r, NoUpstream, in)
 	}
 	if e.Slots > 0 && best.running >= float64(e.Slots)*(1+queuePerSlot) {
 		return s.refuse(now, r, Busy, in)
 	}
-	s.place(now, Key{
+	s.charge(now, s.place(now, Key{
 		Gateway: gateway,
 		ID:      r.ID,
-	}, e, r.Team, Prompt{}, 0)
+	}, e, r.Team, Prompt{}, 0))
 	return Decision{
 		ID:       r.ID,
 		Upstream: e.ID,
--- a/fleet/dispatch/upstream.go
+++ b/fleet/dispatch/upstream.go
@@ -28,6 +28,8 @@
 	backoffUntil time.Time
 	// lastChoiceUntil is the time before which lastChoiceCost applies.
 	lastChoiceUntil time.Time
+	// pacer spaces requests while the upstream states a rate limit.
+	pacer pacer
 	// probing reports whether a request in flight probes the upstream after a suspension.
 	probing bool
 	// trials is the number of requests in flight that are trials of quarantined segments.
@@ -43,13 +45,14 @@
 	return !e.listed || e.Draining && !u.Draining || e.Address != u.Address
 }
 
-// restart discards the notices, the speed and the cache of an earlier start. Capacity is
+// restart discards the notices, the rate limit, the speed and the cache of an earlier start. Capacity is
 // that of the new cache in tokens.
 func (e *engine) restart(capacity float64) {
 	e.leavingUntil = time.Time{}
 	e.backoffUntil = time.Time{}
 	e.lastChoiceUntil = time.Time{}
 	e.speed = speed{}
+	e.pacer = pacer{}
 	e.cache = &prefixCache{
 		capacity: capacity,
 	}
--- a/fleet/trace/explain.go
+++ b/fleet/trace/explain.go
@@ -84,6 +84,10 @@
 		if ms := l.Number(KeyTeamLead); ms > 0 {
 			lead = fmt.Sprintf(", it was %.0f ms ahead of other teams that want more", ms)
 		}
+		if limit := l.Number(KeyRateLimit); limit > 0 {
+			return fmt.Sprintf("upstreams of %s state rate limits (%s), and their next requests are left to teams that received less than %s",
+				l.Text(KeyService), describeLimit(limit), l.Text(KeyTeam))
+		}
 		return fmt.Sprintf("team %s had %.0f tokens of the %.0f that it is owed within the window%s, and the best of %.0f upstreams has %.0f ms to read before it and %.0f ms for it",
 			l.Text(KeyTeam), l.Number(KeyTeamAdmitted), l.Number(KeyTeamShare), lead, l.Number(KeyUsableUpstreams), l.Number(KeyQueueDelay), l.Number(KeyPrefillTime))
 	case "over_share_lately":
@@ -91,6 +95,9 @@
 	case "busy":
 		return fmt.Sprintf("the best of %.0f upstreams of %s would begin to read it after %.0f ms and take %.0f ms, with an objective of %.0f ms",
 			l.Number(KeyUsableUpstreams), l.Text(KeyService), l.Number(KeyQueueDelay), l.Number(KeyPrefillTime), l.Number(KeyObjective))
+	case string(dispatch.RateLimited):
+		return fmt.Sprintf("all usable upstreams of %s state rate limits (%s), which are used up",
+			l.Text(KeyService), describeLimit(l.Number(KeyRateLimit)))
 	case string(dispatch.Quarantined):
 		return fmt.Sprintf("prompt segment %s is quarantined: %.0f upstreams crashed with requests that hold it, and none answered one since; the next trial was due in %.0f ms",
 			l.Text(KeySegment), l.Number(KeyCrashes), l.Number(KeyTrialIn))
@@ -100,6 +107,11 @@
 	return l.Text(KeyCause)
 }
 
+// describeLimit describes the rate limit of the upstream that takes requests first.
+func describeLimit(perSecond float64) string {
+	return fmt.Sprintf("%.4g requests a second at the one that takes the next", perSecond)
+}
+
 // explainEnding returns the reason why a request that was sent to upstreams ended as it
 // did, from all lines about it and the last of them.
 func explainEnding(requestLines []Line, last Line) string {
@@ -152,7 +164,7 @@
 			continue
 		}
 		switch l.Message {
-		case MsgSuspended, MsgWorksAgain:
+		case MsgSuspended, MsgWorksAgain, MsgRateLimitStarted, MsgRateLimitChanged, MsgRateLimitEnded:
 			if upstreams[l.Text(KeyUpstream)] {
 				out = append(out, l)
 			}
--- a/fleet/trace/explain_test.go
+++ b/fleet/trace/explain_test.go
@@ -134,3 +134,45 @@
 	})
 	is.Equal(got, "team north had 30000 tokens of the 40000 that it is owed within the window, it was 800 ms ahead of other teams that want more, and the best of 4 upstreams has 120 ms to read before it and 16 ms for it")
 }
+
+// TestExplainRefusalsAtRateLimits explains refusals for rate limits of upstreams, also that of
+// a team whose share they lowered.
+func TestExplainRefusalsAtRateLimits(t *testing.T) {
+	is := is.New(t)
+	explain := func(reason string) string {
+		return explainRefusal(Line{
+			Fields: map[string]any{
+				KeyReason:    reason,
+				KeyService:   "llm",
+				KeyTeam:      "north",
+				KeyRateLimit: 2.6,
+			},
+		})
+	}
+	is.Equal(explain("rate_limited"), "all usable upstreams of llm state rate limits (2.6 requests a second at the one that takes the next), which are used up")
+	is.Equal(explain("over_share"), "upstreams of llm state rate limits (2.6 requests a second at the one that takes the next), and their next requests are left to teams that received less than north")
+}
+
+// TestLogRateLimits logs limits that begin, change, stay and end.
+func TestLogRateLimits(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	LogRateLimits(telemetry.NewLogger(&out, "controller a"),
+		map[string]float64{"i-1": 5, "i-2": 2, "i-3": 1}, map[string]float64{"i-0": 7, "i-1": 5, "i-2": 3})
+	lines, err := Read(&out)
+	is.NoErr(err)
+	is.Equal(len(lines), 3)
+	for i, want := range []struct {
+		message, upstream string
+		now, before       float64
+	}{
+		{MsgRateLimitStarted, "i-0", 7, 0},
+		{MsgRateLimitChanged, "i-2", 3, 2},
+		{MsgRateLimitEnded, "i-3", 0, 1},
+	} {
+		is.Equal(lines[i].Message, want.message)
+		is.Equal(lines[i].Text(KeyUpstream), want.upstream)
+		is.Equal(lines[i].Number(KeyRateLimit), want.now)
+		is.Equal(lines[i].Number(keyLimitBefore), want.before)
+	}
+}
--- a/fleet/trace/step.go
+++ b/fleet/trace/step.go
@@ -104,6 +104,9 @@
 		dst = append(dst, slog.Int64(KeyTeamAdmitted, in.Admitted), slog.Int64(KeyTeamShare, in.Share),
 			millis(KeyTeamLead, in.Lead))
 	}
+	if in.RateLimit > 0 {
+		dst = append(dst, slog.Float64(KeyRateLimit, in.RateLimit))
+	}
 	return dst
 }
 
--- a/fleet/wire/serve.go
+++ b/fleet/wire/serve.go
@@ -12,7 +12,8 @@
 const PathServe = "/link/serve"
 
 // Serve is a frame between a gateway and the leading controller. Fields up to Refused
-// are sent by the gateway, those from Welcome on by the controller, Quarantine by both.
+// are sent by the gateway, those from Welcome on by the controller, RateLimits and Quarantine
+// by both.
 type Serve struct {
 	// Hello is sent in the gateway's first frame.
 	Hello *ServeHello `cbor:"1,keyasint,omitempty"`
@@ -38,6 +39,12 @@
 	// the leader, since its last frame with a ping.
 	Refused []dispatch.GatewayRefusals `cbor:"20,keyasint,omitempty"`
 
+	// RateLimits are the rate limits of upstreams: from the gateway those in their answers,
+	// and when it links those that it knows, from the controller those that changed.
+	RateLimits []dispatch.RateLimitReport `cbor:"23,keyasint,omitempty"`
+	// RateLimitsComplete reports that RateLimits holds all that the controller knows.
+	RateLimitsComplete bool `cbor:"24,keyasint,omitempty"`
+
 	// Welcome is sent in the controller's first frame.
 	Welcome *Welcome `cbor:"10,keyasint,omitempty"`
 	// Pong is the number of the ping that it answers: the configuration sent so far
@@ -140,5 +147,5 @@
 	return s.Hello == nil && s.Ping == 0 && len(s.PlacementRequests) == 0 && len(s.InFlight) == 0 && len(s.Started) == 0 &&
 		len(s.Ended) == 0 && s.Welcome == nil && s.Pong == 0 && s.Configuration == nil && s.Upstreams == nil &&
 		len(s.Decisions) == 0 && s.Gateways == 0 && len(s.Accounts) == 0 && len(s.UpstreamNotices) == 0 && len(s.Refused) == 0 && s.Change == nil && s.TrafficFraction == 0 &&
-		len(s.Quarantine) == 0 && !s.QuarantineComplete
+		len(s.Quarantine) == 0 && !s.QuarantineComplete && len(s.RateLimits) == 0 && !s.RateLimitsComplete
 }
--- a/fleet/wire/serve_test.go
+++ b/fleet/wire/serve_test.go
@@ -16,6 +16,42 @@
 	Outcome dispatch.Outcome `cbor:"2,keyasint,omitempty"`
 }
 
+// olderServe is Serve as peers know it that know no rate limits.
+type olderServe struct {
+	Ping  uint64       `cbor:"2,keyasint,omitempty"`
+	Ended []olderEnded `cbor:"6,keyasint,omitempty"`
+}
+
+// TestRateLimitsAreSkippedByOlderPeers guards against links that older peers close because of
+// a field that they don't know, and against messages that outgrow the budget for control.
+func TestRateLimitsAreSkippedByOlderPeers(t *testing.T) {
+	is := is.New(t)
+	sent := Serve{
+		Ping: 7,
+		RateLimits: []dispatch.RateLimitReport{{
+			Request:  1 << 20,
+			Upstream: "i-eb4325484f",
+			Limit: dispatch.RateLimit{
+				Stated:    true,
+				PerSecond: 5.25,
+			},
+		}},
+		RateLimitsComplete: true,
+	}
+	data, err := link.Encode(sent)
+	is.NoErr(err)
+	var old olderServe
+	is.NoErr(cbor.Unmarshal(data, &old))
+	is.Equal(old.Ping, uint64(7))
+	var read Serve
+	is.NoErr(cbor.Unmarshal(data, &read))
+	is.Equal(read, sent)
+	report, err := link.Encode(sent.RateLimits[0])
+	is.NoErr(err)
+	t.Logf("a report takes %d bytes", len(report))
+	is.True(len(report) <= 48)
+}
+
 // TestEndedOfNewOutcomeIsReadByOlderPeers guards against an older leader that does not know
 // an outcome and keeps the upstream suspended for ever.
 func TestEndedOfNewOutcomeIsReadByOlderPeers(t *testing.T) {
--- a/gateway/internal/controller/link.go
+++ b/gateway/internal/controller/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -44,13 +45,14 @@
 type reply chan dispatch.Decision
 
 // event is handled by the control goroutine. Exactly one of place, started, ended, notice,
-// linked, lost and frame is set.
+// limit, linked, lost and frame is set.
 type event struct {
 	place         *dispatch.Request
 	reply         reply
 	started       uint64
 	ended         *wire.Ended
 	notice        *dispatch.Notice
+	limit         *dispatch.RateLimitReport
 	linked        *link.Conn[wire.Serve]
 	leaderAddress string // with linked
 	lost          *link.Conn[wire.Serve]
@@ -89,6 +91,8 @@
 	// snapshot is the configuration in force, nil without one.
 	snapshot   *configuration.Snapshot
 	lastLeader string // address of the leader of the last link
+	// alone reports whether the last decision was the gateway's own.
+	alone bool
 
 	learned  atomic.Pointer[[]string] // controllers' addresses, from their answers
 	refusals refusals
@@ -170,6 +174,14 @@
 	}
 }
 
+// ReportRateLimit reports what the answer to a request states about its upstream's rate
+// limit. An answer without one need only be reported for upstreams in View.RateLimits.
+func (l *Link) ReportRateLimit(r dispatch.RateLimitReport) {
+	l.events <- event{
+		limit: &r,
+	}
+}
+
 // Run connects to the leader and handles events until the context ends. The goroutine that
 // calls it is the control goroutine.
 func (l *Link) Run(ctx context.Context) {
@@ -250,6 +262,12 @@
 		if l.conn != nil {
 			l.outgoing.UpstreamNotices = append(l.outgoing.UpstreamNotices, *e.notice)
 		}
+	case e.limit != nil:
+		l.scheduler.ApplyRateLimit(time.Now(), l.settings.Name, *e.limit)
+		l.updateRateLimits()
+		if l.conn != nil {
+			l.outgoing.RateLimits = append(l.outgoing.RateLimits, *e.limit)
+		}
 	case e.linked != nil:
 		l.handleLinked(e.linked, e.leaderAddress)
 	case e.lost != nil:
@@ -298,6 +316,9 @@
 		})
 	}
 	l.outgoing.UpstreamNotices = l.scheduler.Notices(time.Now())
+	for upstream, perSecond := range l.scheduler.RateLimits() {
+		l.outgoing.RateLimits = append(l.outgoing.RateLimits, dispatch.NewRateLimitReport(upstream, perSecond))
+	}
 	l.outgoing.Quarantine = l.scheduler.Quarantine().Records(time.Now())
 	l.scheduler.SetFollowing(true)
 	if leader != l.lastLeader {
@@ -333,6 +354,21 @@
 	l.setLeader("")
 }
 
+// updateRateLimits stores the scheduler's rate limits in the view if they have changed. It
+// logs the changes while there is no leader, which logs those of the whole fleet.
+func (l *Link) updateRateLimits() {
+	next := *l.view.Load()
+	limits := l.scheduler.RateLimits()
+	if maps.Equal(limits, next.RateLimits) {
+		return
+	}
+	if l.conn == nil {
+		trace.LogRateLimits(l.log, next.RateLimits, limits)
+	}
+	next.RateLimits = limits
+	l.view.Store(&next)
+}
+
 // setLeader stores the leader's address in the view; empty means that there is no link.
 func (l *Link) setLeader(address string) {
 	next := *l.view.Load()
--- a/gateway/internal/controller/place.go
+++ b/gateway/internal/controller/place.go
@@ -43,6 +43,10 @@
 
 // placeLocally places a request with the gateway's own scheduler.
 func (l *Link) placeLocally(now time.Time, r dispatch.Request) dispatch.Decision {
+	if !l.alone {
+		l.alone = true
+		l.scheduler.DecideAlone(now)
+	}
 	d := l.scheduler.Place(now, l.settings.Name, r)
 	d.Inputs.DecidedBy = dispatch.ByGateway
 	l.setRetryAfter(now, r.Service, &d)
--- a/gateway/internal/controller/receive.go
+++ b/gateway/internal/controller/receive.go
@@ -13,6 +13,7 @@
 // receive applies a frame from the leader.
 func (l *Link) receive(f wire.Serve) {
 	l.receiveQuarantine(f)
+	l.receiveRateLimits(f)
 	for _, d := range f.Decisions {
 		l.handleDecision(d)
 	}
@@ -74,6 +75,15 @@
 	}
 }
 
+// receiveRateLimits applies the leader's rate limits of upstreams.
+func (l *Link) receiveRateLimits(f wire.Serve) {
+	if len(f.RateLimits) == 0 && !f.RateLimitsComplete {
+		return
+	}
+	l.scheduler.FollowRateLimits(time.Now(), f.RateLimits, f.RateLimitsComplete)
+	l.updateRateLimits()
+}
+
 // newerSnapshot returns the configuration that results from a frame, or nil if the frame has
 // none, or one that is invalid or not newer.
 func (l *Link) newerSnapshot(f wire.Serve) *configuration.Snapshot {
@@ -127,6 +137,7 @@
 		return
 	}
 	delete(l.waiting, d.ID)
+	l.alone = false
 	l.scheduler.RecordDemand(now, w.request)
 	if d.Upstream != "" {
 		l.scheduler.RecordPlacement(now, dispatch.Placement{
--- a/gateway/internal/controller/view.go
+++ b/gateway/internal/controller/view.go
@@ -18,6 +18,8 @@
 	ProvenUntil steady.Time
 	// Gateways is the number of gateways linked to the leader, including this one.
 	Gateways int
+	// RateLimits are the rate limits that upstreams state, in requests a second.
+	RateLimits map[string]float64
 	// Leader is the address of the leader that the gateway is linked to, or empty.
 	Leader string
 }
--- a/gateway/internal/serve/fake_scheduler_test.go
+++ b/gateway/internal/serve/fake_scheduler_test.go
@@ -20,6 +20,7 @@
 	refuse  *dispatch.Decision
 	ended   []dispatch.Outcome
 	notices []dispatch.Notice
+	limits  []dispatch.RateLimitReport
 	// refused are the prompt tokens of locally refused requests by team.
 	refused map[string]int
 }
@@ -62,6 +63,12 @@
 	f.notices = append(f.notices, n)
 }
 
+func (f *fakeScheduler) ReportRateLimit(r dispatch.RateLimitReport) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.limits = append(f.limits, r)
+}
+
 func (f *fakeScheduler) ReportRefusal(team string, p dispatch.Prompt) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -53,6 +53,9 @@
 	ReportOutcome(id uint64, outcome dispatch.Outcome)
 	// ReportNotice reports that an upstream shuts down or wants no requests for a time.
 	ReportNotice(n dispatch.Notice)
+	// ReportRateLimit reports what the answer to a request states about its upstream's
+	// rate limit.
+	ReportRateLimit(r dispatch.RateLimitReport)
 	// ReportRefusal reports a request of a team that was refused without a call of
 	// Place, so that it still counts as demand of the team.
 	ReportRefusal(team string, p dispatch.Prompt)
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -155,6 +155,8 @@
 		x.refuseWithReason(d.Reason, d.Inputs, http.StatusTooManyRequests, problem.TooManyWaiting, overShareDetail, retry)
 	case dispatch.AheadOfOthers:
 		x.refuseWithReason(d.Reason, d.Inputs, http.StatusTooManyRequests, problem.TooManyWaiting, "other teams received less", retry)
+	case dispatch.RateLimited:
+		x.refuseWithReason(d.Reason, d.Inputs, http.StatusServiceUnavailable, problem.TooManyWaiting, "the rate limits of all upstreams are used up", retry)
 	case dispatch.Quarantined:
 		x.refuseQuarantined(d)
 	case dispatch.NoUpstream:
@@ -245,6 +247,7 @@
 	reply := h.protocol.ReadReply(answer.Status, answer.Header)
 	x.reportNotice(d.Upstream, reply)
 	step.RateLimit = reply.RateLimit
+	x.reportRateLimit(d, reply)
 	switch {
 	case reply.OtherUpstream:
 		step.Cause = "another upstream has the address"
@@ -289,6 +292,23 @@
 	})
 }
 
+// reportRateLimit reports to the scheduler the rate limit that an upstream states in its
+// reply, or that it states none although one is known.
+func (x *exchange) reportRateLimit(d dispatch.Decision, reply call.Reply) {
+	if reply.OtherUpstream || reply.RateLimit.Malformed {
+		return
+	}
+	h := x.handler
+	if _, limited := h.scheduler.View().RateLimits[d.Upstream]; !limited && !reply.RateLimit.Stated {
+		return
+	}
+	h.scheduler.ReportRateLimit(dispatch.RateLimitReport{
+		Request:  d.ID,
+		Upstream: d.Upstream,
+		Limit:    reply.RateLimit,
+	})
+}
+
 // upstreamRequest returns the request to the upstream with the given identifier. A
 // resumed stream carries the identifier of the last event that was received completely.
 func (x *exchange) upstreamRequest(id string) upstream.Request {
