--- a/bench/internal/soak/upstream.go
+++ b/bench/internal/soak/upstream.go
@@ -37,6 +37,10 @@
 	// when it begins to answer. Crashes are the times at which that happened.
 	crashingSegment uint64
 	crashes         []time.Time
+	// rateLimit is the limit that the upstream states in its answers, in requests a second,
+	// or zero. Limited are the times at which requests arrived while it stated one.
+	rateLimit float64
+	limited   []time.Time
 
 	// readMu serialises the reading of prompts under the fault "reads slowly".
 	readMu sync.Mutex
@@ -200,6 +204,24 @@
 	return u.id, u.fault, u.draining
 }
 
+// stateRateLimit sets the limit that the upstream states from now on, in requests a second.
+func (u *Upstream) stateRateLimit(perSecond float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.rateLimit, u.limited = perSecond, nil
+}
+
+// countLimited records a request that arrives while the upstream states a limit, and returns
+// the limit.
+func (u *Upstream) countLimited(now time.Time) dispatch.RateLimit {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.rateLimit > 0 {
+		u.limited = append(u.limited, now)
+	}
+	return dispatch.NewRateLimitReport(u.id, u.rateLimit).Limit
+}
+
 // serve executes a request, or fails it according to the active fault.
 func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
@@ -208,8 +230,9 @@
 	attempt, placed := platform.PeerHeaders{}.ReadPlacement(r.Header)
 	id, fault, leaving := u.state()
 	reply := call.Reply{
-		ID:      attempt,
-		Leaving: leaving,
+		ID:        attempt,
+		Leaving:   leaving,
+		RateLimit: u.countLimited(time.Now()),
 	}
 	if placed.Upstream != id {
 		platform.PeerHeaders{}.WriteReply(w.Header(), reply)
