serve, trace: digest of requests whose answers broke off

The log named attempts, which differ each time, so that one request which crashes upstreams could not be told from different ones. "upstream tried" has request_digest when an answer broke off.

--- a/fleet/trace/step.go
+++ b/fleet/trace/step.go
@@ -53,6 +53,7 @@
 	KeyLeaving         = "leaving"
 	KeyBackoff         = "rest_ms"
 	KeySegments        = "shared_segments"
+	KeyDigest          = "request_digest"
 	KeyRateLimit       = "rate_limit_per_s"
 )
 
@@ -162,6 +163,9 @@
 	// SharedSegments are the prompt's segments that other requests may share; set if the
 	// answer broke off.
 	SharedSegments []dispatch.PromptSegment
+	// Digest identifies requests with the same target, team and body; set if the answer broke
+	// off, otherwise zero.
+	Digest uint64
 	// RateLimit is what the answer said about the rate of requests that the upstream accepts.
 	RateLimit dispatch.RateLimit
 }
@@ -181,6 +185,9 @@
 	case s.RateLimit.Malformed:
 		dst = append(dst, slog.String(KeyRateLimit, "malformed"))
 	}
+	if s.Digest != 0 {
+		dst = append(dst, slog.String(KeyDigest, SegmentID(s.Digest)))
+	}
 	return appendText(dst, KeySegments, SegmentIDs(s.SharedSegments))
 }
 
--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -256,11 +256,14 @@
 	r       *http.Request
 	arrived time.Time
 
-	route    *configuration.Route
-	service  string // chosen by the weights of the route
-	team     string
-	call     call.Call
-	body     []byte
+	route   *configuration.Route
+	service string // chosen by the weights of the route
+	team    string
+	call    call.Call
+	body    []byte
+	// requestDigest is zero until digest computes it.
+	requestDigest uint64
+
 	deadline time.Time
 	tried    []string // identifiers of the upstreams tried so far
 	// refusedConns is the number of upstreams tried that refused the connection, and
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -219,6 +219,7 @@
 	x.responseErr = nil
 	if result == failed || result == truncated {
 		step.SharedSegments = x.call.Prompt.Shared()
+		step.Digest = x.digest()
 	}
 	x.requestLog().Step(now, step)
 	x.handler.counters.countAttempt(result)
