dispatch: gateways cut off together keep rate limits with a margin

Gateways alone now use 0.4 of their part (0.6), the burst is 3 (4), and engines draw in order, so that two runs print the same.

--- a/fleet/dispatch/rate_limit.go
+++ b/fleet/dispatch/rate_limit.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // RateLimit is what an answer of an upstream says about the rate of requests that it
 // accepts from the whole fleet. The zero value means that the answer states no limit.
@@ -38,16 +42,17 @@
 const (
 	// rateBurst is the number of requests that an upstream with a rate limit gets at once
 	// after a pause. It lets the limit be used up although requests arrive at random.
-	rateBurst = 4
+	rateBurst = 3
 	// minRateLimit is the least rate, in requests a second, at which an upstream is used. An
 	// upstream that gets no requests could not state that its limit has ended.
 	minRateLimit = 0.2
 	// maxRateLimit is the rate, in requests a second, from which a limit counts as none.
 	maxRateLimit = 100_000.0
 	// aloneRateFraction is the part of its share of a limit that a gateway uses while it
-	// decides alone: the leader may not know of it, and the traffic fractions of all
-	// gateways may add up to 1.25.
-	aloneRateFraction = 0.6
+	// decides alone. The leader of other gateways doesn't know what it uses, the traffic
+	// fractions of all gateways may add up to 1.25, and many gateways that don't know of each
+	// other send at random times.
+	aloneRateFraction = 0.4
 	// minStartReserve is the least part of a burst that the teams may use which are ahead
 	// of others; the rest is for those behind.
 	minStartReserve = 1.0 / (rateBurst - 1)
@@ -204,12 +209,10 @@
 // gateways may do so at the same moment, so each lets its first request to an upstream with
 // a rate limit wait for a random part of the interval between two.
 func (s *Scheduler) DecideAlone(now time.Time) {
-	for _, e := range s.engines {
-		if !e.pacer.limited() {
-			continue
-		}
-		interval, _ := s.pace(&e.pacer)
-		e.pacer.theoretical = s.randomPhase(now, interval)
+	for _, report := range s.RateLimitReports() {
+		p := &s.engines[report.Upstream].pacer
+		interval, _ := s.pace(p)
+		p.theoretical = s.randomPhase(now, interval)
 	}
 }
 
@@ -228,6 +231,16 @@
 	return limits
 }
 
+// RateLimitReports returns the limits of all upstreams that state one, ordered by upstream.
+func (s *Scheduler) RateLimitReports() []RateLimitReport {
+	limits := s.RateLimits()
+	var reports []RateLimitReport
+	for _, upstream := range slices.Sorted(maps.Keys(limits)) {
+		reports = append(reports, NewRateLimitReport(upstream, limits[upstream]))
+	}
+	return reports
+}
+
 // costWeight is the weight of the newest request in the mean cost of a service's requests.
 const costWeight = 1.0 / 64
 
--- a/fleet/dispatch/rate_limit_model_test.go
+++ b/fleet/dispatch/rate_limit_model_test.go
@@ -40,7 +40,6 @@
 	service  string
 	events   []event
 	nextID   uint64
-	sent     map[string]float64 // limits that the leader has sent to gateways
 	// limit returns the limit that an upstream states at a time, or zero.
 	limit func(engine int, since time.Duration) float64
 	// answerAfter returns the time from a request to the head of its answer, and lasting
@@ -92,7 +91,6 @@
 // elect makes a new leader, to which all gateways link.
 func (m *limitModel) elect() {
 	m.leader = m.newScheduler(Settings{})
-	m.sent = nil
 	for _, g := range m.gateways {
 		m.link(g)
 	}
@@ -104,8 +102,8 @@
 	for _, p := range g.scheduler.Placements() {
 		m.leader.RecordPlacement(m.now, p, true)
 	}
-	for upstream, perSecond := range g.scheduler.RateLimits() {
-		m.leader.ApplyRateLimit(m.now, g.name, NewRateLimitReport(upstream, perSecond))
+	for _, report := range g.scheduler.RateLimitReports() {
+		m.leader.ApplyRateLimit(m.now, g.name, report)
 	}
 	m.leader.AddAccounts(m.now, g.scheduler.Accounts(m.now))
 }
@@ -224,10 +222,7 @@
 	if m.leader == nil {
 		return
 	}
-	var reports []RateLimitReport
-	for upstream, perSecond := range m.leader.RateLimits() {
-		reports = append(reports, NewRateLimitReport(upstream, perSecond))
-	}
+	reports := m.leader.RateLimitReports()
 	for _, g := range m.gateways {
 		if g.linked {
 			g.scheduler.FollowRateLimits(m.now, reports, true)
--- a/gateway/internal/controller/link.go
+++ b/gateway/internal/controller/link.go
@@ -316,9 +316,7 @@
 		})
 	}
 	l.outgoing.UpstreamNotices = l.scheduler.Notices(time.Now())
-	for upstream, perSecond := range l.scheduler.RateLimits() {
-		l.outgoing.RateLimits = append(l.outgoing.RateLimits, dispatch.NewRateLimitReport(upstream, perSecond))
-	}
+	l.outgoing.RateLimits = l.scheduler.RateLimitReports()
 	l.outgoing.Quarantine = l.scheduler.Quarantine().Records(time.Now())
 	l.scheduler.SetFollowing(true)
 	if leader != l.lastLeader {
