--- a/baobabctl/quarantine.go
+++ b/baobabctl/quarantine.go
@@ -8,15 +8,15 @@
 )
 
 type quarantineCommand struct {
-	List    quarantineListCommand    `cmd:"" help:"Show the prompt segments whose requests are refused."`
-	Release quarantineReleaseCommand `cmd:"" help:"Let requests with a prompt segment be sent to upstreams again."`
+	List    quarantineListCommand    `cmd:"" help:"Show the prompt segments whose requests are refused, and the requests that are."`
+	Release quarantineReleaseCommand `cmd:"" help:"Let a request, or requests with a prompt segment, be sent to upstreams again."`
 }
 
 type quarantineListCommand struct {
 	controllerFlags
 }
 
-// Run prints the recorded segments as JSON.
+// Run prints the recorded segments and requests as JSON.
 func (c *quarantineListCommand) Run() error {
 	client, err := c.client()
 	if err != nil {
@@ -27,10 +27,10 @@
 
 type quarantineReleaseCommand struct {
 	controllerFlags
-	Segment string `arg:"" help:"The segment's identifier in hexadecimal, as in logs."`
+	ID string `arg:"" help:"The segment's identifier or the request's digest, in hexadecimal as in logs."`
 }
 
-// Run releases a segment.
+// Run releases a segment or a request.
 func (c *quarantineReleaseCommand) Run() error {
 	client, err := c.client()
 	if err != nil {
@@ -38,7 +38,7 @@
 	}
 	if _, err := client.do(context.Background(), request{
 		method: http.MethodDelete,
-		path:   "/v1/quarantine/" + url.PathEscape(c.Segment),
+		path:   "/v1/quarantine/" + url.PathEscape(c.ID),
 	}); err != nil {
 		return err
 	}
--- a/bench/internal/soak/caller.go
+++ b/bench/internal/soak/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -37,6 +38,8 @@
 	conn    net.Conn
 	reader  *bufio.Reader
 	sent    int
+	// target, unless it is empty, is the target and the body of all requests.
+	target string
 	// segment, unless it is zero, is a prompt segment that all streams share.
 	segment uint64
 }
@@ -113,7 +116,8 @@
 // exchange sends a request and reads the answer. Complete is true if the answer ended where
 // its framing says; an answer that ends with the connection does not count as complete.
 func (c *caller) exchange(a *Attempt) (status int, complete bool, body string, header http.Header, err error) {
-	request, err := http.NewRequest(http.MethodPost, "http://soak.example/"+string(a.Kind)+"/"+a.ID, strings.NewReader("body of "+a.ID))
+	target := cmp.Or(c.target, a.ID)
+	request, err := http.NewRequest(http.MethodPost, "http://soak.example/"+string(a.Kind)+"/"+target, strings.NewReader("body of "+target))
 	if err != nil {
 		return 0, false, "", nil, err
 	}
--- a/bench/internal/soak/crashes_test.go
+++ b/bench/internal/soak/crashes_test.go
@@ -18,6 +18,8 @@
 const (
 	// crashesNetwork is the second byte of the test's loopback addresses.
 	crashesNetwork = 8
+	// requestCrashesNetwork is that of TestRequestThatCrashesUpstreams.
+	requestCrashesNetwork = 12
 	// crashingSegment crashes the upstreams.
 	crashingSegment = 7777
 	// After crashGrace from the fifth crash no more than maxReachedAfter requests may reach
@@ -65,16 +67,7 @@
 	}
 	time.Sleep(8 * time.Second)
 	before := len(s.crashes())
-	for _, p := range s.processes() {
-		p.mu.Lock()
-		end := p.faultTimes.begin()
-		p.kill()
-		defer end()
-	}
-	for _, p := range s.processes() {
-		s.faults.startProcess(p)
-		p.mu.Unlock()
-	}
+	s.restartAll()
 	restarted := time.Now()
 	time.Sleep(9 * time.Second)
 	crashes := s.crashes()
@@ -124,6 +117,84 @@
 	is.Equal(s.ledger.Violations(), nil)
 }
 
+// restartAll kills all processes at once and starts them again.
+func (s *Soak) restartAll() {
+	for _, p := range s.processes() {
+		p.mu.Lock()
+		end := p.faultTimes.begin()
+		p.kill()
+		defer end()
+	}
+	for _, p := range s.processes() {
+		s.faults.startProcess(p)
+		p.mu.Unlock()
+	}
+}
+
+// TestRequestThatCrashesUpstreams guards against one request without a prompt that comes again
+// through all gateways and crashes one upstream after the other, and against a fleet that
+// forgets it when all of its processes are killed. Sound requests are served meanwhile.
+func TestRequestThatCrashesUpstreams(t *testing.T) {
+	is := is.New(t)
+	s, ctx := startProcesses(t, Options{
+		Seed:        5,
+		Controllers: 3,
+		Gateways:    3,
+		Upstreams:   4,
+		Network:     requestCrashesNetwork,
+	})
+	const target = "crashing"
+	for _, u := range s.upstreams {
+		u.crashingTarget = target
+	}
+	calling, stopCalling := context.WithCancel(ctx)
+	defer stopCalling()
+	var group sync.WaitGroup
+	for i := range 9 + 3 {
+		c := &caller{
+			soak:    s,
+			gateway: i % len(s.fleet.gateways),
+			random:  rand.New(rand.NewPCG(5, uint64(i))),
+		}
+		kind := []Kind{Look, Book, Chat}[i/3%3]
+		if i >= 9 {
+			c.target = target
+			kind = Look
+		}
+		group.Go(func() { c.press(calling, kind, permanentKeys[0]) })
+	}
+	time.Sleep(9 * time.Second)
+	before := len(s.crashes())
+	s.restartAll()
+	time.Sleep(9 * time.Second)
+	stopCalling()
+	group.Wait()
+	crashes := s.crashes()
+	after := 0
+	for _, at := range crashes[min(3, len(crashes)):] {
+		if at.After(crashes[2].Add(crashGrace)) {
+			after++
+		}
+	}
+	s.ledger.mu.Lock()
+	defer s.ledger.mu.Unlock()
+	sound, served := 0, 0
+	for _, a := range s.ledger.attempts {
+		if a.Kind == Look || s.GatewayAffected(a.Gateway, a.Sent, a.Ended) {
+			continue // look-ups are sound and crashing ones
+		}
+		sound++
+		if a.Status == 200 && a.Complete {
+			served++
+		}
+	}
+	t.Logf("%d crashes, %d of them before the restart, %d after the bound; %d of %d sound requests served", len(crashes), before, after, served, sound)
+	is.True(len(crashes) >= 3)
+	is.True(after <= maxReachedAfter)
+	is.True(10*served >= 9*sound)
+	is.Equal(s.ledger.violations, nil)
+}
+
 // releaseSegment finds the crashing segment in the list of quarantined ones and releases it, as
 // an operator does who has repaired the upstreams.
 func (s *Soak) releaseSegment(t *testing.T) {
--- a/bench/internal/soak/upstream.go
+++ b/bench/internal/soak/upstream.go
@@ -36,7 +36,9 @@
 	// crashingSegment, unless it is zero, is a prompt segment that crashes the upstream
 	// when it begins to answer. Crashes are the times at which that happened.
 	crashingSegment uint64
-	crashes         []time.Time
+	// crashingTarget, unless it is empty, is the target of requests that crash the upstream.
+	crashingTarget string
+	crashes        []time.Time
 	// rateLimit is the limit that the upstream states in its answers, in requests a second,
 	// or zero. Limited are the times at which requests arrived while it stated one.
 	rateLimit float64
@@ -169,11 +171,14 @@
 	}
 }
 
-// promptCrashTime is the time for which an upstream is down after a request crashed it.
-const promptCrashTime = 1500 * time.Millisecond
+// requestCrashTime is the time for which an upstream is down after a request crashed it.
+const requestCrashTime = 1500 * time.Millisecond
 
-// isCrashedBy reports whether the request's prompt crashes the upstream.
+// isCrashedBy reports whether the request or its prompt crashes the upstream.
 func (u *Upstream) isCrashedBy(r *http.Request) bool {
+	if u.crashingTarget != "" && strings.HasSuffix(r.URL.Path, "/"+u.crashingTarget) {
+		return true
+	}
 	request, err := platform.Headers{}.ReadCall(r.Header)
 	if err != nil || u.crashingSegment == 0 {
 		return false
@@ -181,8 +186,8 @@
 	return slices.ContainsFunc(request.Prompt.Shared(), func(s dispatch.PromptSegment) bool { return s.ID == u.crashingSegment })
 }
 
-// crashByPrompt ends the upstream, whose host then refuses connections, and starts it again.
-func (u *Upstream) crashByPrompt() {
+// crashByRequest ends the upstream, whose host then refuses connections, and starts it again.
+func (u *Upstream) crashByRequest() {
 	end := u.faultTimes.begin()
 	defer end()
 	u.mu.Lock()
@@ -190,7 +195,7 @@
 	u.mu.Unlock()
 	u.relay.Close()
 	u.stop()
-	time.Sleep(promptCrashTime)
+	time.Sleep(requestCrashTime)
 	u.restart()
 	for u.relay.Reopen() != nil {
 		time.Sleep(10 * time.Millisecond)
@@ -287,7 +292,7 @@
 	platform.PeerHeaders{}.WriteReply(w.Header(), reply)
 	if u.isCrashedBy(r) {
 		_ = http.NewResponseController(w).Flush() // the connection may have ended
-		go u.crashByPrompt()
+		go u.crashByRequest()
 		<-r.Context().Done()
 		return
 	}
--- a/controller/internal/gateway/hub.go
+++ b/controller/internal/gateway/hub.go
@@ -92,7 +92,7 @@
 	sampler   *metricsSampler
 	// servingSince is when a gateway connected while there was no other.
 	servingSince time.Time
-	// recorded are the quarantined segments in the replicated state; nil before they were
+	// recorded are the quarantined subjects in the replicated state; nil before they were
 	// read. recording is true while a change of them is proposed.
 	recorded  *recordedQuarantine
 	recording bool
@@ -310,6 +310,7 @@
 			Upstream: f.Upstream,
 			Team:     f.Team,
 			Prompt:   f.Prompt,
+			Digest:   f.Digest,
 			Started:  f.Started,
 		}, f.Counted)
 	}
@@ -371,7 +372,7 @@
 }
 
 // watchConfiguration posts each new configuration of the replica, and its quarantined
-// segments.
+// subjects.
 func (h *Hub) watchConfiguration(ctx context.Context) {
 	for ctx.Err() == nil {
 		r := h.replicas.Replica()
--- a/controller/internal/gateway/measure.go
+++ b/controller/internal/gateway/measure.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"baobabpaddle/fleet/dispatch"
+	"baobabpaddle/fleet/quarantine"
 	"baobabpaddle/fleet/telemetry"
 	"baobabpaddle/fleet/trace"
 )
@@ -20,8 +21,9 @@
 	short int                             // teams with a shortfall
 	// limited is the number of upstreams that state a rate limit.
 	limited int
-	// quarantined is the number of quarantined prompt segments.
-	quarantined int
+	// segments and requests are the numbers of quarantined prompt segments and requests.
+	segments int
+	requests int
 }
 
 // metricsSampler publishes samples of the scheduler as gauges. A service gets its
@@ -41,7 +43,8 @@
 	s.latest.Store(&sample{})
 	m.Gauge("controller_team_share_tokens", func() float64 { return s.latest.Load().share })
 	m.Gauge("controller_teams_short", func() float64 { return float64(s.latest.Load().short) })
-	m.Gauge("controller_segments_quarantined", func() float64 { return float64(s.latest.Load().quarantined) })
+	m.Gauge("controller_segments_quarantined", func() float64 { return float64(s.latest.Load().segments) })
+	m.Gauge("controller_requests_quarantined", func() float64 { return float64(s.latest.Load().requests) })
 	m.Gauge("controller_upstreams_rate_limited", func() float64 { return float64(s.latest.Load().limited) })
 	m.Gauge("controller_teams_counted", func() float64 { return float64(s.latest.Load().teams) })
 	return s
@@ -64,7 +67,8 @@
 	next.share, next.teams = scheduler.ShareLevel()
 	short := scheduler.Shortfalls(now)
 	next.short = len(short)
-	next.quarantined = scheduler.Quarantine().Quarantined()
+	register := scheduler.Quarantine()
+	next.segments, next.requests = register.QuarantinedOf(quarantine.Segment), register.QuarantinedOf(quarantine.Request)
 	next.limited = len(scheduler.RateLimits())
 	s.latest.Store(next)
 	return short
--- a/controller/internal/gateway/quarantine.go
+++ b/controller/internal/gateway/quarantine.go
@@ -11,26 +11,26 @@
 	"baobabpaddle/fleet/wire"
 )
 
-// proposeTimeout bounds the recording of quarantined segments in the replicated state.
+// proposeTimeout bounds the recording of quarantined subjects in the replicated state.
 const proposeTimeout = 2 * time.Second
 
-// recordedQuarantine are the quarantined segments in a replica's state.
+// recordedQuarantine are the quarantined subjects in a replica's state.
 type recordedQuarantine struct {
 	revision uint64
-	segments map[uint64]state.QuarantinedSegment
+	subjects map[uint64]state.QuarantinedSubject // by identifier
 	// proposed reports that a proposal of this controller has ended.
 	proposed bool
 }
 
-// readQuarantine returns the quarantined segments in a replica's state.
+// readQuarantine returns the quarantined subjects in a replica's state.
 func readQuarantine(r *replica.Replica) *recordedQuarantine {
 	out := &recordedQuarantine{
-		segments: make(map[uint64]state.QuarantinedSegment),
+		subjects: make(map[uint64]state.QuarantinedSubject),
 	}
 	r.View(func(s *state.State) {
 		out.revision = s.QuarantineRevision
-		for segment, q := range s.Quarantine {
-			out.segments[segment] = q
+		for id, q := range s.Quarantine {
+			out.subjects[id] = q
 		}
 	})
 	return out
@@ -45,7 +45,7 @@
 	}
 }
 
-// applyRecorded takes over the quarantined segments in the replicated state. A segment
+// applyRecorded takes over the quarantined subjects in the replicated state. A subject
 // that is no longer there was released by an operator, unless this leader did so itself.
 func (h *Hub) applyRecorded(next *recordedQuarantine) {
 	if next.proposed {
@@ -57,21 +57,24 @@
 	now := time.Now()
 	register := h.scheduler.Quarantine()
 	if h.recorded != nil {
-		for segment := range h.recorded.segments {
-			if _, ok := next.segments[segment]; !ok {
-				register.Release(now, segment)
+		for id := range h.recorded.subjects {
+			if _, ok := next.subjects[id]; !ok {
+				register.Release(now, id)
 			}
 		}
 	}
 	var added []quarantine.Record
-	for segment, q := range next.segments {
+	for id, q := range next.subjects {
 		if h.recorded != nil {
-			if _, ok := h.recorded.segments[segment]; ok {
+			if _, ok := h.recorded.subjects[id]; ok {
 				continue
 			}
 		}
 		added = append(added, quarantine.Record{
-			Segment:    segment,
+			Subject: quarantine.Subject{
+				ID:   id,
+				Kind: q.Kind,
+			},
 			Rounds:     q.Rounds,
 			Crashes:    q.Crashes,
 			LateTrials: q.LateTrials,
@@ -83,7 +86,7 @@
 	h.recorded = next
 }
 
-// maintainQuarantine drops old evidence, and publishes and records the quarantined segments.
+// maintainQuarantine drops old evidence, and publishes and records the quarantined subjects.
 func (h *Hub) maintainQuarantine(ctx context.Context, now time.Time) {
 	if len(h.conns) > 0 {
 		h.scheduler.WeighEvidence(now)
@@ -93,7 +96,7 @@
 	h.recordQuarantine(ctx, now)
 }
 
-// publishQuarantine logs the changes of quarantined segments and sends them to the
+// publishQuarantine logs the changes of quarantined subjects and sends them to the
 // gateways.
 func (h *Hub) publishQuarantine() {
 	changes := h.scheduler.Quarantine().TakeChanges()
@@ -110,8 +113,8 @@
 	}
 }
 
-// recordQuarantine proposes what the replicated state lacks of the quarantined segments,
-// one proposal at a time. Segments with weak evidence are not recorded: most of them are
+// recordQuarantine proposes what the replicated state lacks of the quarantined subjects,
+// one proposal at a time. Subjects with weak evidence are not recorded: most of them are
 // released within a second.
 func (h *Hub) recordQuarantine(ctx context.Context, now time.Time) {
 	if h.recording || h.recorded == nil || len(h.conns) == 0 {
@@ -120,22 +123,23 @@
 	var change state.QuarantineChange
 	held := make(map[uint64]bool)
 	for _, record := range h.scheduler.Quarantine().Records(now) {
-		held[record.Segment] = true
-		q, ok := h.recorded.segments[record.Segment]
+		held[record.ID] = true
+		q, ok := h.recorded.subjects[record.ID]
 		if !record.Confirmed() || ok && q.Rounds == record.Rounds && q.Crashes == record.Crashes && q.LateTrials == record.LateTrials {
 			continue
 		}
-		change.Put = append(change.Put, state.QuarantinedSegment{
-			Segment:    record.Segment,
+		change.Put = append(change.Put, state.QuarantinedSubject{
+			ID:         record.ID,
+			Kind:       record.Kind,
 			Rounds:     record.Rounds,
 			Crashes:    record.Crashes,
 			LateTrials: record.LateTrials,
 			Companions: record.Companions,
 		})
 	}
-	for segment := range h.recorded.segments {
-		if !held[segment] {
-			change.Release = append(change.Release, segment)
+	for id := range h.recorded.subjects {
+		if !held[id] {
+			change.Release = append(change.Release, id)
 		}
 	}
 	r := h.replicas.Replica()
--- a/controller/internal/gateway/quarantine_test.go
+++ b/controller/internal/gateway/quarantine_test.go
@@ -92,7 +92,7 @@
 	}
 	is.Equal(h.scheduler.Quarantine().Quarantined(), 1)
 	changes := h.scheduler.Quarantine().TakeChanges()
-	is.Equal(changes[0].Segment, uint64(crashingSegment))
+	is.Equal(changes[0].ID, uint64(crashingSegment))
 	is.Equal(changes[0].Crashes, 2)
 }
 
@@ -103,9 +103,9 @@
 	h := newLeadingHub()
 	h.applyRecorded(&recordedQuarantine{
 		revision: 1,
-		segments: map[uint64]state.QuarantinedSegment{
+		subjects: map[uint64]state.QuarantinedSubject{
 			crashingSegment: {
-				Segment: crashingSegment,
+				ID:      crashingSegment,
 				Rounds:  4,
 				Crashes: 6,
 			},
@@ -134,7 +134,9 @@
 	h.receive(c, wire.Serve{
 		Quarantine: []quarantine.Record{
 			{
-				Segment: crashingSegment,
+				Subject: quarantine.Subject{
+					ID: crashingSegment,
+				},
 				Rounds:  3,
 				Crashes: 3,
 				TrialIn: 4 * time.Second,
@@ -143,3 +145,51 @@
 	})
 	is.Equal(place(h, c, request(1)).Reason, dispatch.Quarantined)
 }
+
+// TestRequestThatCrashesUpstreamsAtSeveralGateways guards against one request to a plain
+// service that each gateway takes for another one: it comes through two gateways with
+// different identifiers, and a gateway reports it in flight to a new leader.
+func TestRequestThatCrashesUpstreamsAtSeveralGateways(t *testing.T) {
+	is := is.New(t)
+	h := newLeadingHub()
+	gateways := []*conn{
+		{
+			name: "a",
+		},
+		{
+			name: "b",
+		},
+	}
+	booking := func(id uint64) dispatch.Request {
+		return dispatch.Request{
+			ID:         id,
+			Service:    "llm",
+			Digest:     0xdc61,
+			Idempotent: true,
+		}
+	}
+	is.True(place(h, gateways[0], booking(1)).Upstream != "")
+	time.Sleep(time.Millisecond)
+	h.receive(gateways[0], wire.Serve{
+		Ended: []wire.Ended{wire.NewEnded(1, dispatch.Crashed)},
+	})
+	time.Sleep(time.Millisecond)
+	h.receive(gateways[1], wire.Serve{ // as it links, or after a decision of its own
+		InFlight: []wire.InFlight{{
+			ID:       2,
+			Upstream: "u2",
+			Digest:   0xdc61,
+			Counted:  true,
+		}},
+	})
+	time.Sleep(time.Millisecond)
+	h.receive(gateways[1], wire.Serve{
+		Ended: []wire.Ended{wire.NewEnded(2, dispatch.Crashed)},
+	})
+	is.Equal(h.scheduler.Quarantine().QuarantinedOf(quarantine.Request), 1)
+	time.Sleep(350 * time.Millisecond)                        // both upstreams are suspended
+	is.True(place(h, gateways[0], booking(3)).Upstream != "") // the trial
+	d := place(h, gateways[1], booking(4))
+	is.Equal(d.Reason, dispatch.Quarantined)
+	is.True(d.RetryAfter > 0)
+}
--- a/controller/internal/operator/configuration.go
+++ b/controller/internal/operator/configuration.go
@@ -66,7 +66,7 @@
 	mux.HandleFunc("PUT /v1/configuration", c.logged("configuration change answered", c.put))
 	mux.HandleFunc("GET /v1/configuration", c.logged("configuration read answered", c.get))
 	mux.HandleFunc("GET /v1/quarantine", c.logged("quarantine read answered", c.listQuarantine))
-	mux.HandleFunc("DELETE /v1/quarantine/{segment}", c.logged("release from quarantine answered", c.releaseSegment))
+	mux.HandleFunc("DELETE /v1/quarantine/{segment}", c.logged("release from quarantine answered", c.releaseSubject))
 	return mux
 }
 
--- a/controller/internal/operator/quarantine.go
+++ b/controller/internal/operator/quarantine.go
@@ -10,10 +10,13 @@
 	"baobabpaddle/fleet/state"
 )
 
-// QuarantinedSegment describes a prompt segment whose requests are refused.
-type QuarantinedSegment struct {
-	// Segment is the segment's identifier in hexadecimal.
-	Segment string    `json:"segment"`
+// QuarantinedSubject describes a prompt segment whose requests are refused, or a request that
+// is.
+type QuarantinedSubject struct {
+	// Kind is "segment" or "request".
+	Kind string `json:"kind"`
+	// ID is the segment's identifier or the request's digest, in hexadecimal.
+	ID      string    `json:"segment"`
 	Rounds  int       `json:"rounds"`
 	Crashes int       `json:"crashes"`
 	Since   time.Time `json:"since"`
@@ -21,22 +24,23 @@
 
 // QuarantineList is the answer to GET /v1/quarantine.
 type QuarantineList struct {
-	Items []QuarantinedSegment `json:"items"`
+	Items []QuarantinedSubject `json:"items"`
 }
 
-// listQuarantine answers with the recorded segments, the earliest first.
+// listQuarantine answers with the recorded subjects, the earliest first.
 func (c *ConfigurationAPI) listQuarantine(w *loggedResponse, r *http.Request) {
 	current := c.currentReplica(w, r)
 	if current == nil {
 		return
 	}
 	out := QuarantineList{
-		Items: []QuarantinedSegment{},
+		Items: []QuarantinedSubject{},
 	}
 	current.View(func(s *state.State) {
 		for _, q := range s.QuarantineList() {
-			out.Items = append(out.Items, QuarantinedSegment{
-				Segment: strconv.FormatUint(q.Segment, 16),
+			out.Items = append(out.Items, QuarantinedSubject{
+				Kind:    q.Kind.String(),
+				ID:      strconv.FormatUint(q.ID, 16),
 				Rounds:  q.Rounds,
 				Crashes: q.Crashes,
 				Since:   q.Since,
@@ -46,9 +50,9 @@
 	writeJSON(w, out)
 }
 
-// releaseSegment releases a segment. It answers 204 when the release is committed.
-func (c *ConfigurationAPI) releaseSegment(w *loggedResponse, r *http.Request) {
-	segment, err := strconv.ParseUint(r.PathValue("segment"), 16, 64)
+// releaseSubject releases a segment or a request. It answers 204 when the release is committed.
+func (c *ConfigurationAPI) releaseSubject(w *loggedResponse, r *http.Request) {
+	id, err := strconv.ParseUint(r.PathValue("segment"), 16, 64)
 	if err != nil {
 		problem.New(http.StatusBadRequest, problem.MalformedBody, "segment: want a hexadecimal number of at most 16 digits").Write(w)
 		return
@@ -62,7 +66,7 @@
 	result, err := c.executor.Execute(ctx, state.Command{
 		Time: time.Now(),
 		Quarantine: &state.QuarantineChange{
-			Release: []uint64{segment},
+			Release: []uint64{id},
 		},
 	}, 0)
 	switch {
--- a/controller/internal/operator/quarantine_test.go
+++ b/controller/internal/operator/quarantine_test.go
@@ -37,16 +37,16 @@
 	return f.state.Apply(1, command), nil
 }
 
-// TestReleaseOfQuarantinedSegment checks the answers to an operator who releases segments.
-func TestReleaseOfQuarantinedSegment(t *testing.T) {
+// TestReleaseOfQuarantinedSubject checks the answers to an operator who releases segments.
+func TestReleaseOfQuarantinedSubject(t *testing.T) {
 	is := is.New(t)
 	s := state.New()
 	s.Apply(1, state.Command{
 		Quarantine: &state.QuarantineChange{
-			Put: []state.QuarantinedSegment{
+			Put: []state.QuarantinedSubject{
 				{
-					Segment: 0xf8a2cb22a003,
-					Rounds:  3,
+					ID:     0xf8a2cb22a003,
+					Rounds: 3,
 				},
 			},
 		},
--- a/fleet/dispatch/bench_test.go
+++ b/fleet/dispatch/bench_test.go
@@ -85,7 +85,7 @@
 	for segment := range uint64(quarantine.MaxQuarantined) {
 		for round := range 2 {
 			now = now.Add(time.Millisecond)
-			c.Quarantine().RecordCrash(now, now.Add(-time.Microsecond), 2*segment+uint64(round)+1, []uint64{1, 2, 1e6 + segment})
+			c.Quarantine().RecordCrash(now, now.Add(-time.Microsecond), 2*segment+uint64(round)+1, segments(1, 2, 1e6+segment))
 		}
 	}
 	id := uint64(0)
--- a/fleet/dispatch/crash_model_test.go
+++ b/fleet/dispatch/crash_model_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"baobabpaddle/fleet/quarantine"
 )
 
 const (
@@ -19,6 +21,15 @@
 	commonSegment = 1
 )
 
+// segments returns the subjects of a prompt with the given shared segments.
+func segments(ids ...uint64) []quarantine.Subject {
+	out := make([]quarantine.Subject, len(ids))
+	for i, id := range ids {
+		out[i].ID = id
+	}
+	return out
+}
+
 // modelRequest is a request of a crashModel, over all engines that it is sent to.
 type modelRequest struct {
 	request  Request
--- a/fleet/dispatch/crash_test.go
+++ b/fleet/dispatch/crash_test.go
@@ -268,7 +268,7 @@
 	is.True(first.RetryAfter > 0)
 	is.Equal(last.Reason, Quarantined)
 	is.Equal(last.RetryAfter, time.Duration(0))
-	is.Equal(last.Inputs.Quarantine.Segment, uint64(crashingSegment))
+	is.Equal(last.Inputs.Quarantine.ID, uint64(crashingSegment))
 }
 
 // TestCrashIsNotChargedToTheTeam guards against a team that is charged twice for a stream
@@ -347,10 +347,10 @@
 	is := is.New(t)
 	m := newCrashModel(1, 3, crashingSegment)
 	s, now := m.scheduler, m.now
-	segments := []uint64{commonSegment, crashingSegment}
+	shared := segments(commonSegment, crashingSegment)
 	for i := range uint64(2) {
 		now = now.Add(time.Second)
-		s.Quarantine().RecordCrash(now, now.Add(-time.Millisecond), i+1, segments[1:])
+		s.Quarantine().RecordCrash(now, now.Add(-time.Millisecond), i+1, shared[1:])
 	}
 	place := func() Decision {
 		q := m.chat(crashingSegment)
--- a/fleet/dispatch/evidence.go
+++ b/fleet/dispatch/evidence.go
@@ -7,7 +7,7 @@
 	"baobabpaddle/fleet/quarantine"
 )
 
-// Constants of the evidence against prompt segments.
+// Constants of the evidence against prompt segments and requests.
 const (
 	// soundAfter is the duration of an answer from which it clears the segments, even if it
 	// is not complete. An engine may send the first tokens before it crashes.
@@ -33,16 +33,28 @@
 	maxTrialRetryAfter = 900 * time.Millisecond
 )
 
-// sharedIDs returns the identifiers of the segments that other requests may share.
-func sharedIDs(p Prompt) []uint64 {
+// subjects returns what evidence from a request is held against: the segments that other
+// requests may share, and the request itself, which may come again, if its digest is known.
+func subjects(p Prompt, digest uint64) []quarantine.Subject {
 	shared := p.Shared()
-	ids := make([]uint64, len(shared))
-	for i, segment := range shared {
-		ids[i] = segment.ID
+	out := make([]quarantine.Subject, 0, len(shared)+1)
+	for _, segment := range shared {
+		out = append(out, quarantine.Subject{
+			ID: segment.ID,
+		})
+	}
+	if digest != 0 {
+		out = append(out, quarantine.Subject{
+			ID:   digest,
+			Kind: quarantine.Request,
+		})
 	}
-	return ids
+	return out
 }
 
+// subjects returns what evidence from the request is held against.
+func (p *placedRequest) subjects() []quarantine.Subject { return subjects(p.prompt, p.digest) }
+
 // startedRequest is a request whose answer counts as sound at a time if it still goes on.
 type startedRequest struct {
 	key     Key
@@ -53,24 +65,24 @@
 // crashedTrial is a trial whose engine crashed. It is judged at a later time, when crashes
 // of other engines at the same moment are known.
 type crashedTrial struct {
-	segments  []uint64
+	subjects  []quarantine.Subject
 	crashedAt time.Time
 	judgeAt   time.Time
 }
 
-// checkQuarantine decides whether a prompt may be sent to an engine.
-func (s *Scheduler) checkQuarantine(now time.Time, p Prompt) (quarantine.Verdict, quarantine.Record) {
+// checkQuarantine decides whether a request may be sent to an upstream.
+func (s *Scheduler) checkQuarantine(now time.Time, r Request) (quarantine.Verdict, quarantine.Record) {
 	if s.quarantine.Quarantined() == 0 {
 		return quarantine.Allow, quarantine.Record{}
 	}
-	verdict, record := s.quarantine.Check(now, sharedIDs(p))
+	verdict, record := s.quarantine.Check(now, subjects(r.Prompt, r.Digest))
 	if verdict == quarantine.Trial && !s.settings.Trials {
 		verdict = quarantine.Defer
 	}
 	return verdict, record
 }
 
-// WeighEvidence clears the segments of answers that have lasted for soundAfter and judges the
+// WeighEvidence clears the subjects of answers that have lasted for soundAfter and judges the
 // trials whose engines crashed. It must be called several times a second.
 func (s *Scheduler) WeighEvidence(now time.Time) {
 	for len(s.started) > 0 && !now.Before(s.started[0].at) {
@@ -78,16 +90,16 @@
 		s.started = s.started[1:]
 		if s.placed[first.key] == first.request {
 			s.endTrial(first.request)
-			s.quarantine.RecordAnswer(now, sharedIDs(first.request.prompt))
+			s.quarantine.RecordAnswer(now, first.request.subjects())
 		}
 	}
 	for len(s.crashedTrials) > 0 && !now.Before(s.crashedTrials[0].judgeAt) {
 		trial := s.crashedTrials[0]
 		s.crashedTrials = s.crashedTrials[1:]
 		if s.crashesAround(trial.crashedAt) <= maxTrialCrashes {
-			s.quarantine.FailTrial(now, trial.segments)
+			s.quarantine.FailTrial(now, trial.subjects)
 		} else {
-			s.quarantine.EndTrial(trial.segments)
+			s.quarantine.EndTrial(trial.subjects)
 		}
 	}
 }
@@ -104,10 +116,10 @@
 	return n
 }
 
-// noteStart lets the answer to a request count for its segments if there is evidence
+// noteStart lets the answer to a request count for its subjects if there is evidence
 // against one of them.
 func (s *Scheduler) noteStart(now time.Time, key Key, p *placedRequest) {
-	if s.following || s.quarantine.Empty() || !slices.ContainsFunc(sharedIDs(p.prompt), s.quarantine.IsSuspect) {
+	if s.following || s.quarantine.Empty() || !slices.ContainsFunc(p.subjects(), s.quarantine.IsSuspect) {
 		return
 	}
 	s.started = append(s.started, startedRequest{
@@ -117,21 +129,21 @@
 	})
 }
 
-// answering reports whether an answer to a request that holds the segment has lasted for
-// soundAfter, which shows that the segment doesn't crash engines.
-func (s *Scheduler) answering(now time.Time, segment uint64) bool {
-	if s.answeredSegments == nil || now.Sub(s.answeredAt) > answeredMemory {
-		s.answeredSegments = make(map[uint64]bool)
+// answering reports whether an answer to a request with the subject has lasted for
+// soundAfter, which shows that the subject doesn't crash engines.
+func (s *Scheduler) answering(now time.Time, subject quarantine.Subject) bool {
+	if s.answeredSubjects == nil || now.Sub(s.answeredAt) > answeredMemory {
+		s.answeredSubjects = make(map[quarantine.Subject]bool)
 		s.answeredAt = now
 		for _, p := range s.placed {
 			if p.sound(now) {
-				for _, segment := range p.prompt.Shared() {
-					s.answeredSegments[segment.ID] = true
+				for _, answered := range p.subjects() {
+					s.answeredSubjects[answered] = true
 				}
 			}
 		}
 	}
-	return s.answeredSegments[segment]
+	return s.answeredSubjects[subject]
 }
 
 // sound reports whether the answer has lasted for soundAfter.
@@ -139,7 +151,7 @@
 	return p.started && now.Sub(p.startedAt) >= soundAfter
 }
 
-// refuseQuarantined returns the Decision to refuse a request with a quarantined segment,
+// refuseQuarantined returns the Decision to refuse a request with a quarantined subject,
 // either for good or until a trial has ended.
 func (s *Scheduler) refuseQuarantined(r Request, verdict quarantine.Verdict, record quarantine.Record) Decision {
 	d := Decision{
@@ -156,55 +168,55 @@
 	return d
 }
 
-// startTrial marks a placed request as a trial of its quarantined segments.
+// startTrial marks a placed request as a trial of its quarantined subjects.
 func (s *Scheduler) startTrial(now time.Time, p *placedRequest) {
 	p.trial = true
 	p.engine.trials++
-	s.quarantine.StartTrial(now, sharedIDs(p.prompt))
+	s.quarantine.StartTrial(now, p.subjects())
 }
 
 // endTrial records that a request is no trial any more. It does nothing if it is none.
 func (s *Scheduler) endTrial(p *placedRequest) {
-	if ids := s.unmarkTrial(p); ids != nil {
-		s.quarantine.EndTrial(ids)
+	if tried := s.unmarkTrial(p); tried != nil {
+		s.quarantine.EndTrial(tried)
 	}
 }
 
 // abortTrial records that the end of a trial will not be known. It does nothing if the
 // request is no trial.
 func (s *Scheduler) abortTrial(now time.Time, p *placedRequest) {
-	if ids := s.unmarkTrial(p); ids != nil {
-		s.quarantine.AbortTrial(now, ids)
+	if tried := s.unmarkTrial(p); tried != nil {
+		s.quarantine.AbortTrial(now, tried)
 	}
 }
 
-// unmarkTrial takes the mark of a trial off a request and returns its segments, or nil if
+// unmarkTrial takes the mark of a trial off a request and returns its subjects, or nil if
 // it is no trial.
-func (s *Scheduler) unmarkTrial(p *placedRequest) []uint64 {
+func (s *Scheduler) unmarkTrial(p *placedRequest) []quarantine.Subject {
 	if !p.trial {
 		return nil
 	}
 	p.trial = false
 	p.engine.trials--
-	return sharedIDs(p.prompt)
+	return p.subjects()
 }
 
-// recordEvidence records what the end of a request shows about its prompt's segments.
+// recordEvidence records what the end of a request shows about its subjects.
 func (s *Scheduler) recordEvidence(now time.Time, p *placedRequest, outcome Outcome) {
-	if p.prompt.Tokens == 0 || s.following {
+	if s.following {
 		return
 	}
 	crash := uint64(0)
 	if outcome == Crashed {
 		crash = s.crashOf(now, p.engine)
 	}
-	ids := sharedIDs(p.prompt)
+	found := p.subjects()
 	switch {
 	case p.started && outcome == Answered || p.sound(now):
 		s.endTrial(p)
-		s.quarantine.RecordAnswer(now, ids)
+		s.quarantine.RecordAnswer(now, found)
 	case outcome == Crashed:
-		s.recordCrash(now, p, crash, ids)
+		s.recordCrash(now, p, crash, found)
 	case outcome == Broken || outcome == ResponseTimeout || outcome == Failed:
 		s.abortTrial(now, p) // its engine may have crashed
 	default:
@@ -213,16 +225,16 @@
 }
 
 // recordCrash records that the engine of an unanswered request crashed.
-func (s *Scheduler) recordCrash(now time.Time, p *placedRequest, crash uint64, segments []uint64) {
-	for _, id := range segments {
-		if s.quarantine.Completes(now, id, p.placedAt) && s.answering(now, id) {
-			s.quarantine.RecordAnswer(now, []uint64{id})
+func (s *Scheduler) recordCrash(now time.Time, p *placedRequest, crash uint64, found []quarantine.Subject) {
+	for _, subject := range found {
+		if s.quarantine.Completes(now, subject, p.placedAt) && s.answering(now, subject) {
+			s.quarantine.RecordAnswer(now, []quarantine.Subject{subject})
 		}
 	}
-	s.quarantine.RecordCrash(now, p.placedAt, crash, segments)
+	s.quarantine.RecordCrash(now, p.placedAt, crash, found)
 	if s.unmarkTrial(p) != nil {
 		s.crashedTrials = append(s.crashedTrials, crashedTrial{
-			segments:  segments,
+			subjects:  found,
 			crashedAt: now,
 			judgeAt:   now.Add(isolationWindow),
 		})
@@ -243,8 +255,8 @@
 }
 
 // SetFollowing sets whether another Scheduler decides at present. While it does, that one
-// keeps the evidence against prompt segments, which sees the requests of all gateways.
+// keeps the evidence against prompt segments and requests, which sees the requests of all gateways.
 func (s *Scheduler) SetFollowing(following bool) { s.following = following }
 
-// Quarantine returns the evidence against prompt segments.
+// Quarantine returns the evidence against prompt segments and requests.
 func (s *Scheduler) Quarantine() *quarantine.Register { return s.quarantine }
--- a/fleet/dispatch/placement.go
+++ b/fleet/dispatch/placement.go
@@ -9,13 +9,14 @@
 	prefilling bool    // counted in the engine's backlog
 	started    bool    // the response has begun
 	startedAt  time.Time
-	trial      bool // counts as a trial of quarantined segments
+	trial      bool // counts as a trial of quarantined subjects
 	charged    bool // counted against the engine's rate limit
 	// backlogAtPlacement is the engine's prefill backlog in tokens, this request's
 	// included, at the time placedAt.
 	backlogAtPlacement float64
 	placedAt           time.Time
 	prompt             Prompt
+	digest             uint64
 	// objectiveAt is the time at which the objective passes, or zero if unknown.
 	objectiveAt time.Time
 	// cache is the prefix cache of the engine when it got the request, which a restart
@@ -68,8 +69,9 @@
 
 // place adds a request to an upstream's load. It replaces an earlier placement under the
 // same key, which was not sent, and refunds that one's tokens.
-func (s *Scheduler) place(now time.Time, key Key, e *engine, team string, prompt Prompt, uncached float64) *placedRequest {
-	if old := s.remove(key); old != nil {
+func (s *Scheduler) place(now time.Time, placement Placement, uncached float64) *placedRequest {
+	e := s.engine(placement.Upstream)
+	if old := s.remove(placement.Key); old != nil {
 		s.refund(old)
 		s.refundStart(old)
 		s.abortTrial(now, old)
@@ -85,12 +87,13 @@
 		prefilling:         uncached > 0,
 		backlogAtPlacement: e.prefillBacklog,
 		placedAt:           now,
-		prompt:             prompt,
+		prompt:             placement.Prompt,
+		digest:             placement.Digest,
 		cache:              e.cache,
-		segments:           e.cache.acquire(prompt),
-		team:               team,
+		segments:           e.cache.acquire(placement.Prompt),
+		team:               placement.Team,
 	}
-	s.placed[key] = p
+	s.placed[placement.Key] = p
 	return p
 }
 
@@ -102,7 +105,7 @@
 	if !placement.Started && placement.Prompt.Tokens > 0 {
 		uncached, _ = e.cache.uncachedTokens(placement.Prompt)
 	}
-	p := s.place(now, placement.Key, e, placement.Team, placement.Prompt, uncached)
+	p := s.place(now, placement, uncached)
 	if !counted {
 		s.charge(now, p)
 	}
@@ -313,6 +316,7 @@
 	// Team is empty for requests that belong to no team.
 	Team   string
 	Prompt Prompt
+	Digest uint64
 	// Started reports whether the response has begun.
 	Started bool
 }
@@ -326,6 +330,7 @@
 			Upstream: p.engine.ID,
 			Team:     p.team,
 			Prompt:   p.prompt,
+			Digest:   p.digest,
 			Started:  !p.prefilling,
 		})
 	}
--- a/fleet/dispatch/request.go
+++ b/fleet/dispatch/request.go
@@ -79,6 +79,9 @@
 	// was admitted before, so it is not refused for its team's share or because engines
 	// are busy.
 	Resumed bool `cbor:"9,keyasint,omitempty"`
+	// Digest identifies requests with the same target, team and body, at any gateway. It is
+	// zero if the gateway doesn't tell.
+	Digest uint64 `cbor:"12,keyasint,omitempty"`
 	// Idempotent reports whether the request may be sent again if it fails. Such requests
 	// are the first to probe an upstream after a suspension.
 	Idempotent bool `cbor:"10,keyasint,omitempty"`
@@ -138,7 +141,8 @@
 	// RateLimit is the rate limit, in requests a second, of the upstream that takes requests
 	// first, if all usable ones have a limit that is used up; otherwise zero.
 	RateLimit float64 `cbor:"11,keyasint,omitempty"`
-	// Quarantine is the record of the prompt's quarantined segment; nil if none is.
+	// Quarantine is the record of the quarantined subject, a segment of the prompt or the
+	// request itself; nil if there is none.
 	Quarantine *quarantine.Record `cbor:"10,keyasint,omitempty"`
 }
 
@@ -159,8 +163,8 @@
 	Busy Reason = "busy"
 	// RateLimited: all usable upstreams have rate limits that are used up.
 	RateLimited Reason = "rate_limited"
-	// Quarantined: engines crashed with requests that hold one of the prompt's segments. A
-	// retry won't help if RetryAfter is zero.
+	// Quarantined: upstreams crashed with this request, or with requests that hold one of
+	// its prompt's segments. A retry won't help if RetryAfter is zero.
 	Quarantined Reason = "quarantined"
 )
 
--- a/fleet/dispatch/scheduler.go
+++ b/fleet/dispatch/scheduler.go
@@ -27,7 +27,7 @@
 	// capacity is the part of the declared throughput that rate limits leave.
 	capacity float64
 	changes  []SuspensionChange
-	// quarantine holds the evidence against prompt segments. Started and crashedTrials are
+	// quarantine holds the evidence against prompt segments and requests. Started and crashedTrials are
 	// requests that become evidence at a later time, in its order.
 	quarantine    *quarantine.Register
 	started       []startedRequest
@@ -35,9 +35,9 @@
 	// crashes is the number of crashes of upstreams, and crashTimes the times of the last.
 	crashes    uint64
 	crashTimes []time.Time
-	// answeredSegments are the segments of answers that had lasted for soundAfter at the time
+	// answeredSubjects are the subjects of answers that had lasted for soundAfter at the time
 	// answeredAt.
-	answeredSegments map[uint64]bool
+	answeredSubjects map[quarantine.Subject]bool
 	answeredAt       time.Time
 	// following reports that another Scheduler decides and keeps the evidence.
 	following bool
@@ -141,13 +141,13 @@
 // Place decides on a request that arrives now. Requests with prompt tokens go to model
 // engines, all others to plain services.
 func (s *Scheduler) Place(now time.Time, gateway string, r Request) Decision {
-	if r.Prompt.Tokens == 0 {
-		return s.placePlain(now, gateway, r)
-	}
 	s.WeighEvidence(now)
-	verdict, record := s.checkQuarantine(now, r.Prompt)
-	if verdict > quarantine.Trial {
+	verdict, record := s.checkQuarantine(now, r)
+	switch {
+	case verdict > quarantine.Trial:
 		return s.refuseQuarantined(r, verdict, record)
+	case r.Prompt.Tokens == 0:
+		return s.placePlain(now, gateway, r, verdict == quarantine.Trial)
 	}
 	return s.placeModel(now, gateway, r, verdict == quarantine.Trial)
 }
@@ -183,7 +183,7 @@
 func tokenCost(p Prompt) float64 { return float64(p.Tokens) + 2*p.ExpectedOutput() }
 
 // placeModel decides on a request to a model engine. Trial reports whether it is a trial
-// of quarantined segments.
+// of quarantined subjects.
 func (s *Scheduler) placeModel(now time.Time, gateway string, r Request, trial bool) Decision {
 	if r.countsForTeam() {
 		s.ledger.requested(now, r.Team, tokenCost(r.Prompt))
@@ -213,7 +213,13 @@
 		Gateway: gateway,
 		ID:      r.ID,
 	}
-	p := s.place(now, key, best.engine, r.Team, r.Prompt, best.uncached)
+	p := s.place(now, Placement{
+		Key:      key,
+		Upstream: best.engine.ID,
+		Team:     r.Team,
+		Prompt:   r.Prompt,
+		Digest:   r.Digest,
+	}, best.uncached)
 	p.objectiveAt = now.Add(r.Objective)
 	s.charge(now, p)
 	s.observeCost(r.Service, tokenCost(r.Prompt))
@@ -328,8 +334,9 @@
 
 // placePlain decides on a request to a plain service: it goes to the usable upstream
 // with the fewest running requests, counting penalties for another availability zone and
-// for one that asked a peer for backoff.
-func (s *Scheduler) placePlain(now time.Time, gateway string, r Request) Decision {
+// for one that asked a peer for backoff or runs a trial. Trial reports whether the request
+// is a trial itself.
+func (s *Scheduler) placePlain(now time.Time, gateway string, r Request, trial bool) Decision {
 	var best choice
 	var bestLoad float64
 	engines := s.services[r.Service]
@@ -349,7 +356,7 @@
 		if e.Zone != r.Zone {
 			load += plainZoneCost
 		}
-		if now.Before(e.lastChoiceUntil) {
+		if now.Before(e.lastChoiceUntil) || e.trials > 0 {
 			load += plainLastChoiceCost
 		}
 		if best.engine == nil || load < bestLoad {
@@ -368,10 +375,19 @@
 	if e.Slots > 0 && best.running >= float64(e.Slots)*(1+queuePerSlot) {
 		return s.refuse(now, r, Busy, in)
 	}
-	s.charge(now, s.place(now, Key{
-		Gateway: gateway,
-		ID:      r.ID,
-	}, e, r.Team, Prompt{}, 0))
+	p := s.place(now, Placement{
+		Key: Key{
+			Gateway: gateway,
+			ID:      r.ID,
+		},
+		Upstream: e.ID,
+		Team:     r.Team,
+		Digest:   r.Digest,
+	}, 0)
+	s.charge(now, p)
+	if trial {
+		s.startTrial(now, p)
+	}
 	return Decision{
 		ID:       r.ID,
 		Upstream: e.ID,
--- a/fleet/dispatch/settings.go
+++ b/fleet/dispatch/settings.go
@@ -13,7 +13,7 @@
 	// RecordShortfalls enables the record of what each team demanded and received that
 	// Shortfalls needs. It is of use only where all requests are seen.
 	RecordShortfalls bool
-	// Trials allows requests with quarantined segments to be sent to engines as trials.
+	// Trials allows requests with quarantined subjects to be sent to upstreams as trials.
 	// One Scheduler of the fleet may do so, the leader's.
 	Trials bool
 }
--- a/fleet/dispatch/upstream.go
+++ b/fleet/dispatch/upstream.go
@@ -32,7 +32,7 @@
 	pacer pacer
 	// probing reports whether a request in flight probes the upstream after a suspension.
 	probing bool
-	// trials is the number of requests in flight that are trials of quarantined segments.
+	// trials is the number of requests in flight that are trials of quarantined subjects.
 	trials int
 	// crash identifies the last crash, and crashedAt is when it was noticed.
 	crash     uint64
--- a/fleet/problem/problem.go
+++ b/fleet/problem/problem.go
@@ -29,6 +29,7 @@
 	BodyTruncated    Code = "body_truncated"
 	MalformedBody    Code = "malformed_body"
 	PromptCrashes    Code = "prompt_crashes_upstreams"
+	RequestCrashes   Code = "request_crashes_upstreams"
 	TooManyWaiting   Code = "too_many_waiting"
 	DeadlinePassed   Code = "deadline_passed"
 	NoUpstream       Code = "no_upstream"
--- a/fleet/quarantine/entry.go
+++ b/fleet/quarantine/entry.go
@@ -2,46 +2,52 @@
 
 import "time"
 
-// entry is the evidence against one segment.
+// entry is the evidence against one subject.
 type entry struct {
+	kind       Kind
 	rounds     int
 	crashes    int
 	lateTrials int
 	// lastRound is the time of the last round's crash, and graceUntil the time before which
-	// the segment is not quarantined.
+	// the subject is not quarantined.
 	lastRound  time.Time
 	graceUntil time.Time
 	// recent are the identifiers of the last crashes, and next the index of the oldest.
 	recent [rememberedCrashes]uint64
 	next   int
-	// companions are the segments that were at all crashes which another process counted,
+	// companions are the subjects that were at all crashes which another process counted,
 	// or nil if there are none.
 	companions []uint64
 	// trialAt is the time before which no trial starts; trialing reports whether one is
 	// in flight.
 	trialAt  time.Time
 	trialing bool
-	// abortedUntil is the time before which no trial starts that distinguishes the segment
+	// abortedUntil is the time before which no trial starts that distinguishes the subject
 	// from others, since the end of the last one is not known.
 	abortedUntil time.Time
-	// lastRequest is the time of the last request that held the segment.
+	// lastRequest is the time of the last request that held the subject.
 	lastRequest time.Time
 }
 
 func (e *entry) quarantined() bool { return e.rounds >= restrictRounds }
 
-// record returns a segment's entry as it is reported.
-func (r *Register) record(now time.Time, segment uint64, e *entry) Record {
+// record returns a subject's entry as it is reported.
+func (r *Register) record(now time.Time, id uint64, e *entry) Record {
 	return Record{
-		Segment:    segment,
+		Subject: Subject{
+			ID:   id,
+			Kind: e.kind,
+		},
 		Rounds:     e.rounds,
 		Crashes:    e.crashes,
 		LateTrials: e.lateTrials,
 		SinceCrash: max(now.Sub(e.lastRound), 0),
 		TrialIn:    max(e.trialAt.Sub(now), 0),
-		Companions: r.companionsOf(segment, e),
+		Companions: r.companionsOf(id, e),
 	}
 }
 
 // exhausted reports whether no trial is left.
-func (e *entry) exhausted() bool { return e.crashes >= lateCrashes && e.lateTrials >= maxLateTrials }
+func (e *entry) exhausted() bool {
+	return e.crashes >= e.kind.lateCrashes() && e.lateTrials >= maxLateTrials
+}
--- a/fleet/quarantine/merge.go
+++ b/fleet/quarantine/merge.go
@@ -6,31 +6,31 @@
 	"time"
 )
 
-// Records returns the records of all quarantined segments, ordered by segment.
+// Records returns the records of all quarantined subjects, ordered by identifier.
 func (r *Register) Records(now time.Time) []Record {
-	if r.quarantined == 0 {
+	if r.Quarantined() == 0 {
 		return nil
 	}
 	var out []Record
-	for segment, e := range r.entries {
+	for id, e := range r.entries {
 		if e.quarantined() {
-			out = append(out, r.record(now, segment, e))
+			out = append(out, r.record(now, id, e))
 		}
 	}
-	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Segment, b.Segment) })
+	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
 // Merge adds records that another process reported. The stronger evidence of the two
-// counts. A record is ignored if the segment was released after its last crash.
+// counts. A record is ignored if the subject was released after its last crash.
 func (r *Register) Merge(now time.Time, records []Record) {
 	for _, record := range records {
 		if record.Released {
-			r.remove(now, record.Segment, Reported)
+			r.remove(now, record.ID, Reported)
 			continue
 		}
 		crashedAt := now.Add(-record.SinceCrash)
-		if at, ok := r.released[record.Segment]; ok && !crashedAt.After(at) || record.Rounds < restrictRounds {
+		if at, ok := r.released[record.ID]; ok && !crashedAt.After(at) || record.Rounds < restrictRounds {
 			continue
 		}
 		r.merge(now, crashedAt, record)
@@ -39,9 +39,9 @@
 
 // merge adds one record, unless there is no room for it.
 func (r *Register) merge(now, crashedAt time.Time, record Record) {
-	e := r.entries[record.Segment]
+	e := r.entries[record.ID]
 	if e == nil {
-		if e = r.add(now, record.Segment); e == nil {
+		if e = r.add(now, record.Subject); e == nil {
 			return
 		}
 	}
@@ -51,10 +51,10 @@
 		e.companions = record.Companions
 	}
 	if !e.quarantined() {
-		if r.quarantined >= MaxQuarantined {
+		if r.Quarantined() >= MaxQuarantined {
 			return
 		}
-		r.quarantined++
+		r.quarantined[e.kind]++
 	}
 	e.rounds = max(e.rounds, record.Rounds)
 	e.crashes = max(e.crashes, record.Crashes)
@@ -66,7 +66,7 @@
 		e.trialAt = at
 	}
 	if e.rounds != before.rounds || e.crashes > before.crashes || e.lateTrials != before.lateTrials {
-		r.change(r.record(now, record.Segment, e), Reported)
+		r.change(r.record(now, record.ID, e), Reported)
 	}
 }
 
@@ -75,7 +75,8 @@
 func (r *Register) Replace(now time.Time, records []Record) {
 	clear(r.entries)
 	clear(r.released)
-	r.quarantined = 0
+	r.held = [Request + 1]int{}
+	r.quarantined = [Request + 1]int{}
 	r.Merge(now, records)
 	r.changes = nil
 }
--- a/fleet/quarantine/record.go
+++ b/fleet/quarantine/record.go
@@ -2,11 +2,11 @@
 
 import "time"
 
-// Record is what is known of a quarantined segment, as processes report it to each other.
+// Record is what is known of a quarantined subject, as processes report it to each other.
 type Record struct {
-	Segment uint64 `cbor:"1,keyasint"`
+	Subject
 	// Rounds is the number of crashes in sequence, Crashes the number of engines that
-	// crashed with an unanswered request that held the segment.
+	// crashed with an unanswered request that held the subject.
 	Rounds  int `cbor:"2,keyasint,omitempty"`
 	Crashes int `cbor:"3,keyasint,omitempty"`
 	// LateTrials is the number of trials since Crashes reached lateCrashes.
@@ -15,37 +15,37 @@
 	// trial may start; both count from when the record is sent.
 	SinceCrash time.Duration `cbor:"5,keyasint,omitempty"`
 	TrialIn    time.Duration `cbor:"6,keyasint,omitempty"`
-	// Companions are other quarantined segments that were at all of the crashes, in the same
+	// Companions are other quarantined subjects that were at all of the crashes, in the same
 	// request or in others, at most maxCompanions.
 	Companions []uint64 `cbor:"8,keyasint,omitempty"`
-	// Released reports that the segment is no longer quarantined. The fields above are
-	// zero then, except for Segment.
+	// Released reports that the subject is no longer quarantined. The fields above are
+	// zero then, except for Subject.
 	Released bool `cbor:"7,keyasint,omitempty"`
 }
 
-// Confirmed reports whether a trial of the segment has failed.
+// Confirmed reports whether a trial of the subject has failed.
 func (r Record) Confirmed() bool { return r.Rounds >= finalRounds }
 
-// Cause is why the record of a segment changed.
+// Cause is why the record of a subject changed.
 type Cause string
 
 // The causes of changes.
 const (
-	// Crashed: an engine crashed with a request that holds the segment.
+	// Crashed: an engine crashed with a request that holds the subject.
 	Crashed Cause = "crash"
-	// Tried: a trial of the segment was sent to an engine.
+	// Tried: a trial of the subject was sent to an engine.
 	Tried Cause = "trial"
-	// Answered: an engine answered a request that holds the segment.
+	// Answered: an engine answered a request that holds the subject.
 	Answered Cause = "answered"
-	// ByOperator: an operator released the segment.
+	// ByOperator: an operator released the subject.
 	ByOperator Cause = "operator"
-	// Unused: no request held the segment for idleTimeout.
+	// Unused: no request held the subject for idleTimeout.
 	Unused Cause = "unused"
 	// Reported: another process reported the record.
 	Reported Cause = "reported"
 )
 
-// Change is a change of a quarantined segment's record.
+// Change is a change of a quarantined subject's record.
 type Change struct {
 	Record
 	Cause Cause
--- a/fleet/quarantine/register.go
+++ b/fleet/quarantine/register.go
@@ -7,44 +7,42 @@
 
 // Constants of a Register.
 const (
-	// restrictRounds is the number of rounds from which a segment is quarantined. One
+	// restrictRounds is the number of rounds from which a subject is quarantined. One
 	// crash proves nothing, since all requests of the engine were there.
 	restrictRounds = 2
 	// finalRounds is the number of rounds from which refusals are final.
 	finalRounds = 3
-	// lateCrashes is the number of crashes from which only maxLateTrials further trials
-	// follow once refusals are final. After them only an operator or disuse releases the
-	// segment.
-	lateCrashes   = 5
+	// maxLateTrials is the number of trials after Kind.lateCrashes. After them only an
+	// operator or disuse releases the subject.
 	maxLateTrials = 2
-	// answeredGrace is the time after the first round in which a segment is not quarantined
+	// answeredGrace is the time after the first round in which a subject is not quarantined
 	// that had an answer within answerMemory before. If it is sound, another answer ends in
 	// that time.
 	answeredGrace = time.Second
 	answerMemory  = 10 * time.Second
 	// abortedTrialWait is the least wait after a trial whose end is unknown.
 	abortedTrialWait = time.Second
-	// suspectTimeout is the time after which a segment with fewer than restrictRounds
+	// suspectTimeout is the time after which a subject with fewer than restrictRounds
 	// rounds is forgotten.
 	suspectTimeout = 10 * time.Minute
-	// idleTimeout is the time without a request for it after which a quarantined segment
+	// idleTimeout is the time without a request for it after which a quarantined subject
 	// is forgotten.
 	idleTimeout = time.Hour
-	// sweepInterval is the least time between two searches for segments to forget.
+	// sweepInterval is the least time between two searches for subjects to forget.
 	sweepInterval = 10 * time.Second
-	// releaseMemory is the time for which a released segment is remembered, so that older
+	// releaseMemory is the time for which a released subject is remembered, so that older
 	// reports don't restore it.
 	releaseMemory = 10 * time.Minute
-	// maxEntries bounds the segments with any evidence, MaxQuarantined those that are
-	// quarantined, maxReleased the released ones that are remembered, and maxAnswered those
-	// whose last answer is.
+	// maxEntries bounds the subjects of each kind with any evidence, MaxQuarantined those of
+	// all kinds that are quarantined, maxReleased the released ones that are remembered, and
+	// maxAnswered those of each kind whose last answer is.
 	maxEntries     = 8192
 	maxAnswered    = 8192
 	MaxQuarantined = 1024
 	maxReleased    = 1024
 	// maxCompanions is the number of companions in a record.
 	maxCompanions = 8
-	// maxCrashSets is the number of crashes whose segments are kept.
+	// maxCrashSets is the number of crashes whose subjects are kept.
 	maxCrashSets = 256
 	// rememberedCrashes is the number of last crashes that an entry holds, to count each once.
 	rememberedCrashes = 8
@@ -65,17 +63,16 @@
 	return time.Hour
 }
 
-// Register holds the evidence against segments.
+// Register holds the evidence against subjects.
 type Register struct {
 	entries     map[uint64]*entry
-	quarantined int
+	held        [Request + 1]int // number of entries of each kind
+	quarantined [Request + 1]int // number of quarantined subjects of each kind
 	released    map[uint64]time.Time
-	answered    map[uint64]time.Time // last answers
+	answered    [Request + 1]answers
 	changes     []Change
 	nextSweep   time.Time
-	// nextAnswerSweep is the time before which old answers are not looked for again.
-	nextAnswerSweep time.Time
-	// crashSets are the segments of all unanswered requests at the last crashes, whose
+	// crashSets are the subjects of all unanswered requests at the last crashes, whose
 	// identifiers crashOrder has in order.
 	crashSets  map[uint64]map[uint64]bool
 	crashOrder []uint64
@@ -86,38 +83,40 @@
 	return &Register{
 		entries:  make(map[uint64]*entry),
 		released: make(map[uint64]time.Time),
-		answered: make(map[uint64]time.Time),
 
 		crashSets: make(map[uint64]map[uint64]bool),
 	}
 }
 
-// Empty reports whether there is no evidence against any segment.
+// Empty reports whether there is no evidence against any subject.
 func (r *Register) Empty() bool { return len(r.entries) == 0 }
 
-// Quarantined returns the number of quarantined segments.
-func (r *Register) Quarantined() int { return r.quarantined }
+// Quarantined returns the number of quarantined subjects.
+func (r *Register) Quarantined() int { return r.quarantined[Segment] + r.quarantined[Request] }
 
-// IsSuspect reports whether there is evidence against a segment.
-func (r *Register) IsSuspect(segment uint64) bool { return r.entries[segment] != nil }
+// QuarantinedOf returns the number of quarantined subjects of a kind.
+func (r *Register) QuarantinedOf(kind Kind) int { return r.quarantined[kind] }
+
+// IsSuspect reports whether there is evidence against a subject.
+func (r *Register) IsSuspect(subject Subject) bool { return r.entries[subject.ID] != nil }
 
 // Completes reports whether a crash now with a request that was sent at placedAt would
-// quarantine a segment.
-func (r *Register) Completes(now time.Time, segment uint64, placedAt time.Time) bool {
-	e := r.entries[segment]
+// quarantine a subject.
+func (r *Register) Completes(now time.Time, subject Subject, placedAt time.Time) bool {
+	e := r.entries[subject.ID]
 	return e != nil && e.rounds == restrictRounds-1 && placedAt.After(e.lastRound) && !now.Before(e.graceUntil)
 }
 
-// RecordCrash records that an engine crashed with an unanswered request. The segments are
-// those that the request shares with others, and placedAt is when it was sent to the
-// engine. All requests at the engine name the same crash. Once a segment is quarantined,
-// only FailTrial adds rounds.
-func (r *Register) RecordCrash(now, placedAt time.Time, crash uint64, segments []uint64) {
-	r.addToCrash(crash, segments)
-	for _, segment := range segments {
-		e := r.entries[segment]
+// RecordCrash records that an engine crashed with an unanswered request. The subjects are the
+// request itself and the segments that it shares with others, and placedAt is when it was sent
+// to the engine. All requests at the engine name the same crash. Once a subject is
+// quarantined, only FailTrial adds rounds.
+func (r *Register) RecordCrash(now, placedAt time.Time, crash uint64, subjects []Subject) {
+	r.addToCrash(crash, subjects)
+	for _, subject := range subjects {
+		e := r.entries[subject.ID]
 		if e == nil {
-			if e = r.add(now, segment); e == nil {
+			if e = r.add(now, subject); e == nil {
 				continue
 			}
 		}
@@ -131,95 +130,91 @@
 			continue
 		}
 		if e.rounds == restrictRounds-1 {
-			if now.Before(e.graceUntil) || r.quarantined >= MaxQuarantined {
+			if now.Before(e.graceUntil) || r.Quarantined() >= MaxQuarantined {
 				continue
 			}
-			r.quarantined++
+			r.quarantined[e.kind]++
 		}
-		r.addRound(now, segment, e)
+		r.addRound(now, subject.ID, e)
 	}
 }
 
-// addRound adds a round to the evidence against a segment.
-func (r *Register) addRound(now time.Time, segment uint64, e *entry) {
+// addRound adds a round to the evidence against a subject.
+func (r *Register) addRound(now time.Time, id uint64, e *entry) {
 	e.rounds++
 	e.lastRound = now
 	e.trialAt = now.Add(TrialWait(e.rounds))
 	if e.quarantined() {
-		r.change(r.record(now, segment, e), Crashed)
+		r.change(r.record(now, id, e), Crashed)
 	}
 }
 
-// add returns a new entry, or nil if there is no room for it. Suspects that are not
-// quarantined make room, since the evidence against them is weakest.
-func (r *Register) add(now time.Time, segment uint64) *entry {
-	if len(r.entries) >= maxEntries {
+// add returns a new entry, or nil if there is no room for it. Suspects of the same kind that
+// are not quarantined make room, those with a single crash first, since the evidence
+// against them is weakest.
+func (r *Register) add(now time.Time, subject Subject) *entry {
+	for crashes := 1; crashes <= restrictRounds && r.held[subject.Kind] >= maxEntries; crashes++ {
 		for id, e := range r.entries {
-			if !e.quarantined() && e.lastRound.Before(now) {
-				delete(r.entries, id)
+			if e.kind == subject.Kind && !e.quarantined() && e.lastRound.Before(now) && (e.crashes <= crashes || crashes == restrictRounds) {
+				r.drop(id, e)
 			}
 		}
-		if len(r.entries) >= maxEntries {
-			return nil
-		}
+	}
+	if r.held[subject.Kind] >= maxEntries {
+		return nil
 	}
 	e := &entry{
+		kind:        subject.Kind,
 		lastRequest: now,
 	}
-	if at, ok := r.answered[segment]; ok && now.Sub(at) <= answerMemory {
+	if at, ok := r.answered[subject.Kind].last[subject.ID]; ok && now.Sub(at) <= answerMemory {
 		e.graceUntil = now.Add(answeredGrace)
 	}
-	r.entries[segment] = e
+	r.entries[subject.ID] = e
+	r.held[subject.Kind]++
 	return e
 }
 
-// RecordAnswer records that an engine answered a request, which clears its segments.
-func (r *Register) RecordAnswer(now time.Time, segments []uint64) {
-	for _, segment := range segments {
-		r.rememberAnswer(now, segment)
-		r.remove(now, segment, Answered)
-	}
+// drop removes an entry.
+func (r *Register) drop(id uint64, e *entry) {
+	delete(r.entries, id)
+	r.held[e.kind]--
 }
 
-// rememberAnswer remembers the time of a segment's last answer, if there is room for it.
-func (r *Register) rememberAnswer(now time.Time, segment uint64) {
-	if _, ok := r.answered[segment]; !ok && len(r.answered) >= maxAnswered {
-		if now.Before(r.nextAnswerSweep) {
-			return
-		}
-		r.nextAnswerSweep = now.Add(time.Second)
-		for id, at := range r.answered {
-			if now.Sub(at) > answerMemory {
-				delete(r.answered, id)
-			}
-		}
+// RecordAnswer records that an engine answered a request, which clears its subjects.
+func (r *Register) RecordAnswer(now time.Time, subjects []Subject) {
+	for _, subject := range subjects {
+		r.answered[subject.Kind].remember(now, subject.ID)
+		r.remove(now, subject.ID, Answered)
 	}
-	r.answered[segment] = now
 }
 
-// Release releases a segment at an operator's request.
-func (r *Register) Release(now time.Time, segment uint64) { r.remove(now, segment, ByOperator) }
+// Release releases a subject at an operator's request.
+func (r *Register) Release(now time.Time, id uint64) { r.remove(now, id, ByOperator) }
 
-// remove forgets a segment.
-func (r *Register) remove(now time.Time, segment uint64, cause Cause) {
-	e := r.entries[segment]
+// remove forgets a subject.
+func (r *Register) remove(now time.Time, id uint64, cause Cause) {
+	e := r.entries[id]
 	if e == nil {
 		return
 	}
-	delete(r.entries, segment)
+	r.drop(id, e)
 	if !e.quarantined() {
 		return
 	}
-	r.quarantined--
-	r.remember(now, segment)
+	r.quarantined[e.kind]--
+	r.remember(now, id)
 	r.change(Record{
-		Segment:  segment,
+		Subject: Subject{
+			ID:   id,
+			Kind: e.kind,
+		},
 		Released: true,
 	}, cause)
 }
 
-// remember remembers that a segment was released.
-func (r *Register) remember(now time.Time, segment uint64) {
+// remember remembers that a subject was released.
+func (r *Register) remember(now time.Time, id uint64) {
 	if len(r.released) >= maxReleased {
 		for id, at := range r.released {
 			if now.Sub(at) > releaseMemory {
@@ -230,7 +225,7 @@
 			clear(r.released)
 		}
 	}
-	r.released[segment] = now
+	r.released[id] = now
 }
 
 func (r *Register) change(record Record, cause Cause) {
@@ -240,26 +235,26 @@
 	})
 }
 
-// TakeChanges returns the changes of quarantined segments since the last call, in order.
+// TakeChanges returns the changes of quarantined subjects since the last call, in order.
 func (r *Register) TakeChanges() []Change {
 	changes := r.changes
 	r.changes = nil
 	return changes
 }
 
-// Sweep forgets segments without new evidence or requests. It does nothing within
+// Sweep forgets subjects without new evidence or requests. It does nothing within
 // sweepInterval of the last call that did.
 func (r *Register) Sweep(now time.Time) {
 	if now.Before(r.nextSweep) {
 		return
 	}
 	r.nextSweep = now.Add(sweepInterval)
-	for segment, e := range r.entries {
+	for id, e := range r.entries {
 		switch {
 		case !e.quarantined() && now.Sub(e.lastRound) > suspectTimeout:
-			delete(r.entries, segment)
+			r.drop(id, e)
 		case e.quarantined() && now.Sub(e.lastRequest) > idleTimeout:
-			r.remove(now, segment, Unused)
+			r.remove(now, id, Unused)
 		}
 	}
 }
--- a/fleet/quarantine/register_test.go
+++ b/fleet/quarantine/register_test.go
@@ -12,9 +12,18 @@
 // at returns the time some milliseconds after the epoch.
 func at(millis int) time.Time { return epoch.Add(time.Duration(millis) * time.Millisecond) }
 
+// segments returns the subjects of a prompt with the given segments.
+func segments(ids ...uint64) []Subject {
+	out := make([]Subject, len(ids))
+	for i, id := range ids {
+		out[i].ID = id
+	}
+	return out
+}
+
 // verdict returns the verdict on a request that shares one segment.
 func verdict(r *Register, now time.Time, segment uint64) Verdict {
-	v, _ := r.Check(now, []uint64{segment})
+	v, _ := r.Check(now, segments(segment))
 	return v
 }
 
@@ -28,16 +37,16 @@
 			failTrial(r, now, uint64(i+1), segment)
 			continue
 		}
-		r.RecordCrash(now, now.Add(-100*time.Millisecond), uint64(i+1), []uint64{segment})
+		r.RecordCrash(now, now.Add(-100*time.Millisecond), uint64(i+1), segments(segment))
 	}
 	return now
 }
 
 // failTrial records a trial of a segment that crashes its engine.
 func failTrial(r *Register, now time.Time, crash, segment uint64) {
-	r.StartTrial(now, []uint64{segment})
-	r.RecordCrash(now, now.Add(-50*time.Millisecond), crash, []uint64{segment})
-	r.FailTrial(now, []uint64{segment})
+	r.StartTrial(now, segments(segment))
+	r.RecordCrash(now, now.Add(-50*time.Millisecond), crash, segments(segment))
+	r.FailTrial(now, segments(segment))
 }
 
 // TestOneCrashProvesNothing guards against refusals of sound segments that were at an
@@ -45,7 +54,7 @@
 func TestOneCrashProvesNothing(t *testing.T) {
 	is := is.New(t)
 	r := New()
-	r.RecordCrash(at(100), at(0), 1, []uint64{7, 8, 9})
+	r.RecordCrash(at(100), at(0), 1, segments(7, 8, 9))
 	is.Equal(verdict(r, at(101), 7), Allow)
 	is.Equal(r.Quarantined(), 0)
 }
@@ -55,15 +64,15 @@
 func TestPopularSegmentIsNotQuarantinedBetweenTwoAnswers(t *testing.T) {
 	is := is.New(t)
 	r := New()
-	r.RecordAnswer(at(0), []uint64{7})
+	r.RecordAnswer(at(0), segments(7))
 	for i := range 5 {
 		now := at(1000 + 60*i)
-		r.RecordCrash(now, now.Add(-time.Millisecond), uint64(i+1), []uint64{7, 8})
+		r.RecordCrash(now, now.Add(-time.Millisecond), uint64(i+1), segments(7, 8))
 	}
 	is.Equal(verdict(r, at(1300), 7), Allow)
 	is.True(verdict(r, at(1300), 8) != Allow) // it never had an answer
 	now := at(1000).Add(answeredGrace)
-	r.RecordCrash(now, now.Add(-time.Millisecond), 9, []uint64{7})
+	r.RecordCrash(now, now.Add(-time.Millisecond), 9, segments(7))
 	is.True(verdict(r, now, 7) != Allow) // and none since the first crash
 }
 
@@ -73,7 +82,7 @@
 	is := is.New(t)
 	r := New()
 	for crash := range uint64(500) {
-		r.RecordCrash(at(100), at(int(crash)%100), crash+1, []uint64{7})
+		r.RecordCrash(at(100), at(int(crash)%100), crash+1, segments(7))
 	}
 	is.Equal(verdict(r, at(101), 7), Allow)
 }
@@ -85,13 +94,13 @@
 	r := New()
 	now := crashInSequence(r, 7, restrictRounds)
 	is.Equal(verdict(r, now, 7), Trial)
-	r.StartTrial(now, []uint64{7})
+	r.StartTrial(now, segments(7))
 	is.Equal(verdict(r, now, 7), Defer) // one trial at a time
 	now = now.Add(100 * time.Millisecond)
-	r.RecordCrash(now, now.Add(-50*time.Millisecond), 9, []uint64{7})
+	r.RecordCrash(now, now.Add(-50*time.Millisecond), 9, segments(7))
 	is.Equal(verdict(r, now, 7), Defer) // the trial is not judged yet
-	r.FailTrial(now, []uint64{7})
-	v, record := r.Check(now, []uint64{6, 7, 8})
+	r.FailTrial(now, segments(7))
+	v, record := r.Check(now, segments(6, 7, 8))
 	is.Equal(v, Refuse)
 	is.True(record.Confirmed())
 	is.Equal(record.Crashes, 3)
@@ -104,7 +113,7 @@
 func TestSegmentsAreToldApart(t *testing.T) {
 	is := is.New(t)
 	r := New()
-	crashing := []uint64{1, 2, 3}
+	crashing := segments(1, 2, 3)
 	now := epoch
 	for i := range restrictRounds {
 		now = at(200 * i)
@@ -115,23 +124,23 @@
 	r.FailTrial(now, crashing)
 	v, _ := r.Check(now, crashing)
 	is.Equal(v, Refuse)
-	v, _ = r.Check(now, []uint64{1, 2})
+	v, _ = r.Check(now, segments(1, 2))
 	is.Equal(v, Trial) // at once, and without the wait for a trial of all three
-	r.StartTrial(now, []uint64{1, 2})
-	v, _ = r.Check(now, []uint64{1, 2, 4})
+	r.StartTrial(now, segments(1, 2))
+	v, _ = r.Check(now, segments(1, 2, 4))
 	is.Equal(v, Defer) // one at a time
-	r.AbortTrial(now, []uint64{1, 2})
-	v, _ = r.Check(now, []uint64{1, 2})
+	r.AbortTrial(now, segments(1, 2))
+	v, _ = r.Check(now, segments(1, 2))
 	is.Equal(v, Defer) // its engine may have crashed
 	now = now.Add(abortedTrialWait)
-	v, _ = r.Check(now, []uint64{1, 2})
+	v, _ = r.Check(now, segments(1, 2))
 	is.Equal(v, Trial)
-	r.RecordAnswer(now, []uint64{1, 2})
-	v, _ = r.Check(now, []uint64{1, 2, 4})
+	r.RecordAnswer(now, segments(1, 2))
+	v, _ = r.Check(now, segments(1, 2, 4))
 	is.Equal(v, Allow)
 	v, record := r.Check(now, crashing)
 	is.Equal(v, Refuse)
-	is.Equal(record.Segment, uint64(3))
+	is.Equal(record.ID, uint64(3))
 }
 
 // TestSegmentsAreToldApartBesideSoundRequests guards against evidence that rests on sound
@@ -141,20 +150,20 @@
 	r := New()
 	for i := range restrictRounds {
 		now := at(200 * i)
-		r.RecordCrash(now, now.Add(-100*time.Millisecond), uint64(i+1), []uint64{1, 2})
-		r.RecordCrash(now, now.Add(-100*time.Millisecond), uint64(i+1), []uint64{1, 2, 3})
+		r.RecordCrash(now, now.Add(-100*time.Millisecond), uint64(i+1), segments(1, 2))
+		r.RecordCrash(now, now.Add(-100*time.Millisecond), uint64(i+1), segments(1, 2, 3))
 	}
 	now := at(400)
-	r.StartTrial(now, []uint64{1, 2, 3})
-	r.RecordCrash(now, now.Add(-50*time.Millisecond), 9, []uint64{1, 2, 3})
-	r.FailTrial(now, []uint64{1, 2, 3})
-	v, _ := r.Check(now, []uint64{1, 2})
+	r.StartTrial(now, segments(1, 2, 3))
+	r.RecordCrash(now, now.Add(-50*time.Millisecond), 9, segments(1, 2, 3))
+	r.FailTrial(now, segments(1, 2, 3))
+	v, _ := r.Check(now, segments(1, 2))
 	is.Equal(v, Trial)
 	other := New() // a new leader
 	other.Merge(now, r.Records(now))
-	v, _ = other.Check(now, []uint64{1, 2})
+	v, _ = other.Check(now, segments(1, 2))
 	is.Equal(v, Trial)
-	v, _ = other.Check(now, []uint64{1, 2, 3})
+	v, _ = other.Check(now, segments(1, 2, 3))
 	is.Equal(v, Refuse)
 }
 
@@ -163,11 +172,11 @@
 func TestSegmentThatCrashesAlone(t *testing.T) {
 	is := is.New(t)
 	r := New()
-	r.RecordCrash(at(100), at(0), 1, []uint64{2, 3})
-	r.RecordCrash(at(300), at(200), 2, []uint64{2, 3})
-	r.StartTrial(at(400), []uint64{2})
-	r.RecordCrash(at(500), at(400), 3, []uint64{2})
-	r.FailTrial(at(600), []uint64{2})
+	r.RecordCrash(at(100), at(0), 1, segments(2, 3))
+	r.RecordCrash(at(300), at(200), 2, segments(2, 3))
+	r.StartTrial(at(400), segments(2))
+	r.RecordCrash(at(500), at(400), 3, segments(2))
+	r.FailTrial(at(600), segments(2))
 	is.Equal(verdict(r, at(600), 2), Refuse)
 	is.Equal(verdict(r, at(600), 3), Trial)
 }
@@ -180,12 +189,14 @@
 	now := crashInSequence(r, 7, 3)
 	old := r.Records(now)
 	now = now.Add(time.Second)
-	r.RecordAnswer(now, []uint64{7})
+	r.RecordAnswer(now, segments(7))
 	is.Equal(verdict(r, now, 7), Allow)
 	changes := r.TakeChanges()
 	is.Equal(changes[len(changes)-1], Change{
 		Record: Record{
-			Segment:  7,
+			Subject: Subject{
+				ID: 7,
+			},
 			Released: true,
 		},
 		Cause: Answered,
@@ -227,8 +238,8 @@
 	is := is.New(t)
 	r := New()
 	now := crashInSequence(r, 7, restrictRounds)
-	r.StartTrial(now, []uint64{7})
-	r.AbortTrial(now, []uint64{7})
+	r.StartTrial(now, segments(7))
+	r.AbortTrial(now, segments(7))
 	is.Equal(verdict(r, now, 7), Defer)
 	is.Equal(verdict(r, now.Add(abortedTrialWait), 7), Trial)
 }
@@ -262,7 +273,7 @@
 		now := at(i)
 		for round := range 3 {
 			now = now.Add(time.Duration(round) * time.Microsecond)
-			r.RecordCrash(now, now.Add(-time.Nanosecond), uint64(3*i+round+1), []uint64{uint64(i)})
+			r.RecordCrash(now, now.Add(-time.Nanosecond), uint64(3*i+round+1), segments(uint64(i)))
 		}
 	}
 	is.True(len(r.entries) <= maxEntries)
@@ -287,3 +298,62 @@
 	r.Sweep(now.Add(idleTimeout + time.Second))
 	is.Equal(verdict(r, now.Add(idleTimeout+time.Second), 7), Allow)
 }
+
+// TestFloodKeepsEvidence guards against evidence that a flood of different requests evicts: a
+// request that crashed two engines stays quarantined, one that crashed an engine twice as
+// often as the others stays a suspect, and segments keep theirs.
+func TestFloodKeepsEvidence(t *testing.T) {
+	is := is.New(t)
+	r := New()
+	request := func(id uint64) []Subject {
+		return []Subject{{
+			ID:   id,
+			Kind: Request,
+		}}
+	}
+	r.RecordCrash(at(100), at(0), 1, segments(7))
+	r.RecordCrash(at(100), at(0), 1, request(8))
+	r.RecordCrash(at(300), at(200), 2, request(8))
+	r.RecordCrash(at(400), at(350), 3, request(9))
+	r.RecordCrash(at(400), at(350), 4, request(9))
+	for i := range 3 * maxEntries {
+		now := at(1000 + i)
+		r.RecordCrash(now, now.Add(-time.Millisecond), uint64(i+10), request(uint64(100+i)))
+		r.RecordAnswer(now, request(uint64(1e6+i)))
+	}
+	is.True(len(r.entries) <= maxEntries+1)
+	is.True(r.IsSuspect(segments(7)[0]))
+	is.Equal(verdict(r, at(30_000), 8), Trial)
+	is.True(r.IsSuspect(request(9)[0]))
+	is.Equal(r.QuarantinedOf(Request), 1)
+	is.Equal(r.QuarantinedOf(Segment), 0)
+	is.True(len(r.answered[Request].last) <= maxAnswered)
+}
+
+// TestRequestHasThreeMoreTries guards against a request that reaches more than three engines
+// after it has crashed three: its trials come at once, after 5 s and after 30 s, and no more.
+func TestRequestHasThreeMoreTries(t *testing.T) {
+	is := is.New(t)
+	r := New()
+	request := []Subject{{
+		ID:   8,
+		Kind: Request,
+	}}
+	crash := uint64(0)
+	tried := 0
+	for now := epoch; now.Before(epoch.Add(2 * time.Hour)); now = now.Add(time.Second) {
+		v, _ := r.Check(now, request)
+		if v > Trial {
+			continue
+		}
+		if v == Trial {
+			r.StartTrial(now, request)
+		}
+		tried++
+		crash++
+		crashedAt := now.Add(50 * time.Millisecond)
+		r.RecordCrash(crashedAt, now, crash, request)
+		r.FailTrial(crashedAt, request)
+	}
+	is.Equal(tried, 5)
+}
--- a/fleet/quarantine/separation.go
+++ b/fleet/quarantine/separation.go
@@ -5,8 +5,8 @@
 	"slices"
 )
 
-// addToCrash adds the segments of a request to those of a crash.
-func (r *Register) addToCrash(crash uint64, segments []uint64) {
+// addToCrash adds the subjects of a request to those of a crash.
+func (r *Register) addToCrash(crash uint64, subjects []Subject) {
 	set := r.crashSets[crash]
 	if set == nil {
 		if len(r.crashOrder) == maxCrashSets {
@@ -17,12 +17,12 @@
 		r.crashSets[crash] = set
 		r.crashOrder = append(r.crashOrder, crash)
 	}
-	for _, segment := range segments {
-		set[segment] = true
+	for _, subject := range subjects {
+		set[subject.ID] = true
 	}
 }
 
-// inseparable reports whether another segment was at all crashes that count against an
+// inseparable reports whether another subject was at all crashes that count against an
 // entry, as far as they are known.
 func (r *Register) inseparable(e *entry, other uint64) bool {
 	known := e.companions != nil
@@ -42,28 +42,28 @@
 	return known
 }
 
-// companionsOf returns the other quarantined segments that were at all crashes which count
-// against a segment, at most maxCompanions.
-func (r *Register) companionsOf(segment uint64, e *entry) []uint64 {
+// companionsOf returns the other quarantined subjects that were at all crashes which count
+// against a subject, at most maxCompanions.
+func (r *Register) companionsOf(id uint64, e *entry) []uint64 {
 	candidates := e.companions
 	if last := r.crashSets[e.recent[(e.next+rememberedCrashes-1)%rememberedCrashes]]; last != nil {
 		candidates = slices.Sorted(maps.Keys(last))
 	}
 	var out []uint64
 	for _, other := range candidates {
-		if q := r.entries[other]; other != segment && q != nil && q.quarantined() && r.inseparable(e, other) && len(out) < maxCompanions {
+		if q := r.entries[other]; other != id && q != nil && q.quarantined() && r.inseparable(e, other) && len(out) < maxCompanions {
 			out = append(out, other)
 		}
 	}
 	return out
 }
 
-// separates reports whether a request distinguishes a segment from another quarantined one
+// separates reports whether a request distinguishes a subject from another quarantined one
 // that was at all of its crashes: the request lacks that one. Such a request is not known to
-// crash engines, and its answer clears the segment.
-func (r *Register) separates(segment uint64, e *entry, segments []uint64) bool {
-	for _, companion := range r.companionsOf(segment, e) {
-		if !slices.Contains(segments, companion) {
+// crash engines, and its answer clears the subject.
+func (r *Register) separates(id uint64, e *entry, subjects []Subject) bool {
+	for _, companion := range r.companionsOf(id, e) {
+		if !slices.ContainsFunc(subjects, func(s Subject) bool { return s.ID == companion }) {
 			return true
 		}
 	}
--- a/fleet/quarantine/verdict.go
+++ b/fleet/quarantine/verdict.go
@@ -7,9 +7,9 @@
 
 // The values of Verdict.
 const (
-	// Allow: no segment of the request is quarantined.
+	// Allow: no subject of the request is quarantined.
 	Allow Verdict = iota
-	// Trial: the request may be sent to an engine as a trial of its segments.
+	// Trial: the request may be sent to an engine as a trial of its subjects.
 	Trial
 	// Defer: the request must not be sent to an engine now, and may be a little later.
 	Defer
@@ -17,27 +17,27 @@
 	Refuse
 )
 
-// Check decides on a request that shares the given segments with others. The record is
-// that of the quarantined segment which the verdict follows from; it is empty if the
+// Check decides on a request with the given subjects. The record is
+// that of the quarantined subject which the verdict follows from; it is empty if the
 // verdict is Allow.
-func (r *Register) Check(now time.Time, segments []uint64) (Verdict, Record) {
+func (r *Register) Check(now time.Time, subjects []Subject) (Verdict, Record) {
 	verdict, decisive := Allow, Record{}
-	for _, segment := range segments {
-		e := r.entries[segment]
+	for _, subject := range subjects {
+		e := r.entries[subject.ID]
 		if e == nil || !e.quarantined() {
 			continue
 		}
 		e.lastRequest = now
-		if v := r.check(now, segment, e, segments); v > verdict || v == verdict && e.rounds > decisive.Rounds {
-			verdict, decisive = v, r.record(now, segment, e)
+		if v := r.check(now, subject.ID, e, subjects); v > verdict || v == verdict && e.rounds > decisive.Rounds {
+			verdict, decisive = v, r.record(now, subject.ID, e)
 		}
 	}
 	return verdict, decisive
 }
 
-// check returns the verdict on a request because of one of its segments.
-func (r *Register) check(now time.Time, segment uint64, e *entry, segments []uint64) Verdict {
-	if r.separates(segment, e, segments) {
+// check returns the verdict on a request because of one of its subjects.
+func (r *Register) check(now time.Time, id uint64, e *entry, subjects []Subject) Verdict {
+	if r.separates(id, e, subjects) {
 		if e.trialing || now.Before(e.abortedUntil) {
 			return Defer
 		}
@@ -53,36 +53,36 @@
 }
 
 // StartTrial records that a request is sent to an engine as a trial of its quarantined
-// segments. FailTrial, EndTrial or AbortTrial must follow.
-func (r *Register) StartTrial(now time.Time, segments []uint64) {
-	for _, segment := range segments {
-		e := r.entries[segment]
+// subjects. FailTrial, EndTrial or AbortTrial must follow.
+func (r *Register) StartTrial(now time.Time, subjects []Subject) {
+	for _, subject := range subjects {
+		e := r.entries[subject.ID]
 		if e == nil || !e.quarantined() {
 			continue
 		}
 		e.trialing = true
-		if e.crashes >= lateCrashes && e.rounds >= finalRounds && !r.separates(segment, e, segments) {
+		if e.crashes >= e.kind.lateCrashes() && e.rounds >= finalRounds && !r.separates(subject.ID, e, subjects) {
 			e.lateTrials++
-			r.change(r.record(now, segment, e), Tried)
+			r.change(r.record(now, subject.ID, e), Tried)
 		}
 	}
 }
 
 // FailTrial records that the engine of a trial crashed, and no cause but the trial is known.
-func (r *Register) FailTrial(now time.Time, segments []uint64) {
-	for _, segment := range segments {
-		if e := r.entries[segment]; e != nil && e.trialing {
+func (r *Register) FailTrial(now time.Time, subjects []Subject) {
+	for _, subject := range subjects {
+		if e := r.entries[subject.ID]; e != nil && e.trialing {
 			e.trialing = false
-			r.addRound(now, segment, e)
+			r.addRound(now, subject.ID, e)
 		}
 	}
 }
 
 // EndTrial records that a trial has ended and showed nothing, or an answer, which
 // RecordAnswer records.
-func (r *Register) EndTrial(segments []uint64) {
-	for _, segment := range segments {
-		if e := r.entries[segment]; e != nil {
+func (r *Register) EndTrial(subjects []Subject) {
+	for _, subject := range subjects {
+		if e := r.entries[subject.ID]; e != nil {
 			e.trialing = false
 		}
 	}
@@ -90,9 +90,9 @@
 
 // AbortTrial records that the end of a trial will not be known. The next one waits as
 // after a crash.
-func (r *Register) AbortTrial(now time.Time, segments []uint64) {
-	for _, segment := range segments {
-		e := r.entries[segment]
+func (r *Register) AbortTrial(now time.Time, subjects []Subject) {
+	for _, subject := range subjects {
+		e := r.entries[subject.ID]
 		if e == nil || !e.trialing {
 			continue
 		}
--- a/fleet/state/quarantine.go
+++ b/fleet/state/quarantine.go
@@ -8,49 +8,51 @@
 	"baobabpaddle/fleet/quarantine"
 )
 
-// QuarantinedSegment is a prompt segment whose requests are refused, since engines crashed
-// with them.
-type QuarantinedSegment struct {
-	Segment    uint64 `json:"segment"`
-	Rounds     int    `json:"rounds"`
-	Crashes    int    `json:"crashes"`
-	LateTrials int    `json:"late_trials"`
-	// Companions are other quarantined segments that were at all of the crashes.
+// QuarantinedSubject is a prompt segment whose requests are refused, or a request that is,
+// since upstreams crashed with them.
+type QuarantinedSubject struct {
+	// ID is the segment's identifier or the request's digest.
+	ID         uint64          `json:"segment"`
+	Kind       quarantine.Kind `json:"kind,omitempty"`
+	Rounds     int             `json:"rounds"`
+	Crashes    int             `json:"crashes"`
+	LateTrials int             `json:"late_trials"`
+	// Companions are other quarantined subjects that were at all of the crashes.
 	Companions []uint64 `json:"companions,omitempty"`
-	// Since is the leader's clock when the segment was first recorded.
+	// Since is the leader's clock when the subject was first recorded.
 	Since time.Time `json:"since"`
 }
 
-// QuarantineChange records quarantined segments and releases others.
+// QuarantineChange records quarantined subjects and releases others.
 type QuarantineChange struct {
-	Put     []QuarantinedSegment `json:"put,omitempty"`
+	Put     []QuarantinedSubject `json:"put,omitempty"`
 	Release []uint64             `json:"release,omitempty"`
 }
 
 // changeQuarantine applies a change. It returns CodeNotFound if the change only releases
-// segments of which none is recorded.
+// subjects of which none is recorded.
 func (s *State) changeQuarantine(now time.Time, c QuarantineChange) Result {
 	changed := len(c.Put) > 0
-	for _, segment := range c.Release {
-		if _, ok := s.Quarantine[segment]; ok {
-			delete(s.Quarantine, segment)
+	for _, id := range c.Release {
+		if _, ok := s.Quarantine[id]; ok {
+			delete(s.Quarantine, id)
 			changed = true
 		}
 	}
 	for _, q := range c.Put {
-		present, exists := s.Quarantine[q.Segment]
+		present, exists := s.Quarantine[q.ID]
 		q.Since = now
 		if exists {
 			q.Since = present.Since
 		} else if len(s.Quarantine) >= quarantine.MaxQuarantined {
-			delete(s.Quarantine, s.QuarantineList()[0].Segment)
+			delete(s.Quarantine, s.QuarantineList()[0].ID)
 		}
-		s.Quarantine[q.Segment] = q
+		s.Quarantine[q.ID] = q
 	}
 	if !changed {
 		return Result{
 			Code:   CodeNotFound,
-			Detail: "the segment is not quarantined",
+			Detail: "neither a segment nor a request with this identifier is quarantined",
 		}
 	}
 	s.QuarantineRevision++
@@ -59,14 +61,14 @@
 	}
 }
 
-// QuarantineList returns the quarantined segments, the earliest recorded first.
-func (s *State) QuarantineList() []QuarantinedSegment {
-	out := make([]QuarantinedSegment, 0, len(s.Quarantine))
+// QuarantineList returns the quarantined subjects, the earliest recorded first.
+func (s *State) QuarantineList() []QuarantinedSubject {
+	out := make([]QuarantinedSubject, 0, len(s.Quarantine))
 	for _, q := range s.Quarantine {
 		out = append(out, q)
 	}
-	slices.SortFunc(out, func(a, b QuarantinedSegment) int {
-		return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.Segment, b.Segment))
+	slices.SortFunc(out, func(a, b QuarantinedSubject) int {
+		return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.ID, b.ID))
 	})
 	return out
 }
--- a/fleet/state/quarantine_test.go
+++ b/fleet/state/quarantine_test.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -18,9 +19,9 @@
 
 func putSegment(segment uint64, rounds int) QuarantineChange {
 	return QuarantineChange{
-		Put: []QuarantinedSegment{
+		Put: []QuarantinedSubject{
 			{
-				Segment: segment,
+				ID:      segment,
 				Rounds:  rounds,
 				Crashes: rounds + 1,
 			},
@@ -39,9 +40,9 @@
 	is.NoErr(err)
 	restored, err := Restore(data)
 	is.NoErr(err)
-	is.Equal(restored.QuarantineList(), []QuarantinedSegment{
+	is.Equal(restored.QuarantineList(), []QuarantinedSubject{
 		{
-			Segment: 7,
+			ID:      7,
 			Rounds:  4,
 			Crashes: 5,
 			Since:   epoch,
@@ -72,7 +73,7 @@
 		s.Apply(uint64(i+1), quarantineCommand(epoch.Add(time.Duration(i)*time.Second), putSegment(uint64(i), 3)))
 	}
 	is.Equal(len(s.Quarantine), quarantine.MaxQuarantined)
-	is.Equal(s.QuarantineList()[0].Segment, uint64(10))
+	is.Equal(s.QuarantineList()[0].ID, uint64(10))
 }
 
 // TestSnapshotOfOlderVersion restores a snapshot that was written before segments were
@@ -94,3 +95,25 @@
 	is.Equal(restored.Configuration.Version, uint64(7))
 	is.Equal(restored.Apply(1, quarantineCommand(epoch, putSegment(7, 3))).Code, CodeOK)
 }
+
+// TestQuarantineKeepsKinds checks that the kinds of subjects outlast a snapshot, and that a
+// subject without a kind, as versions before wrote it, is a segment.
+func TestQuarantineKeepsKinds(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	s.Apply(1, quarantineCommand(epoch, QuarantineChange{
+		Put: []QuarantinedSubject{{
+			ID:     8,
+			Kind:   quarantine.Request,
+			Rounds: 3,
+		}},
+	}))
+	s.Apply(2, quarantineCommand(epoch.Add(time.Second), putSegment(7, 3)))
+	data, err := s.Snapshot()
+	is.NoErr(err)
+	restored, err := Restore(data)
+	is.NoErr(err)
+	is.Equal(restored.QuarantineList()[0].Kind, quarantine.Request)
+	is.Equal(restored.QuarantineList()[1].Kind, quarantine.Segment)
+	is.True(!strings.Contains(string(data), `"kind":0`)) // as before for segments
+}
--- a/fleet/state/state.go
+++ b/fleet/state/state.go
@@ -63,9 +63,9 @@
 	Disks map[uint64]string `json:"disks"`
 	// Configuration is the configuration in force; version zero means none.
 	Configuration Configuration `json:"configuration"`
-	// Quarantine holds the quarantined prompt segments by identifier, and
+	// Quarantine holds the quarantined prompt segments and requests by identifier, and
 	// QuarantineRevision grows by one with each change of them.
-	Quarantine         map[uint64]QuarantinedSegment `json:"quarantine"`
+	Quarantine         map[uint64]QuarantinedSubject `json:"quarantine"`
 	QuarantineRevision uint64                        `json:"quarantine_revision"`
 	// Indexes that are derived from the fields above.
 	teamsByKey    map[string]string
@@ -123,7 +123,7 @@
 		s.Disks = make(map[uint64]string)
 	}
 	if s.Quarantine == nil {
-		s.Quarantine = make(map[uint64]QuarantinedSegment)
+		s.Quarantine = make(map[uint64]QuarantinedSubject)
 	}
 	s.teamsByKey = make(map[string]string)
 	s.teamsByNumber = make(map[uint64]string)
--- a/fleet/trace/explain.go
+++ b/fleet/trace/explain.go
@@ -99,6 +99,10 @@
 		return fmt.Sprintf("all usable upstreams of %s state rate limits (%s), which are used up",
 			l.Text(KeyService), describeLimit(l.Number(KeyRateLimit)))
 	case string(dispatch.Quarantined):
+		if digest := l.Text(KeyDigest); digest != "" {
+			return fmt.Sprintf("request %s is quarantined: %.0f upstreams crashed with it, and none answered it since; the next trial was due in %.0f ms",
+				digest, l.Number(KeyCrashes), l.Number(KeyTrialIn))
+		}
 		return fmt.Sprintf("prompt segment %s is quarantined: %.0f upstreams crashed with requests that hold it, and none answered one since; the next trial was due in %.0f ms",
 			l.Text(KeySegment), l.Number(KeyCrashes), l.Number(KeyTrialIn))
 	case "not_ready":
--- a/fleet/trace/explain_test.go
+++ b/fleet/trace/explain_test.go
@@ -176,3 +176,16 @@
 		is.Equal(lines[i].Number(keyLimitBefore), want.before)
 	}
 }
+
+// TestExplainQuarantinedRequest explains the refusal of a request that crashes upstreams.
+func TestExplainQuarantinedRequest(t *testing.T) {
+	is := is.New(t)
+	is.Equal(explainRefusal(Line{
+		Fields: map[string]any{
+			KeyReason:  "quarantined",
+			KeyDigest:  "dc61922226435a05",
+			KeyCrashes: 3.0,
+			KeyTrialIn: 4120.0,
+		},
+	}), "request dc61922226435a05 is quarantined: 3 upstreams crashed with it, and none answered it since; the next trial was due in 4120 ms")
+}
--- a/fleet/trace/quarantine.go
+++ b/fleet/trace/quarantine.go
@@ -7,34 +7,50 @@
 	"baobabpaddle/fleet/quarantine"
 )
 
-// Messages and keys of the lines about quarantined prompt segments. The keys are also those
-// of a refused request's line.
+// Messages and keys of the lines about quarantined prompt segments and requests. The keys are
+// also those of a refused request's line.
 const (
 	MsgQuarantined = "prompt segment quarantined"
 	MsgReleased    = "prompt segment released from quarantine"
-	KeySegment     = "segment"
-	KeyRounds      = "rounds"
-	KeyCrashes     = "crashes"
-	KeyTrialIn     = "trial_in_ms"
+
+	MsgRequestQuarantined = "request quarantined"
+	MsgRequestReleased    = "request released from quarantine"
+
+	KeySegment = "segment"
+	KeyRounds  = "rounds"
+	KeyCrashes = "crashes"
+	KeyTrialIn = "trial_in_ms"
 )
 
-// SegmentID returns the identifier of a segment as it is logged.
-func SegmentID(segment uint64) string { return strconv.FormatUint(segment, 16) }
+// SubjectID returns the identifier of a segment or the digest of a request as it is logged.
+func SubjectID(id uint64) string { return strconv.FormatUint(id, 16) }
+
+// subjectKey returns the key of a subject's identifier.
+func subjectKey(s quarantine.Subject) string {
+	if s.Kind == quarantine.Request {
+		return KeyDigest
+	}
+	return KeySegment
+}
 
-// LogQuarantine writes a line for each change of a quarantined prompt segment.
+// LogQuarantine writes a line for each change of a quarantined prompt segment or request.
 func LogQuarantine(log *slog.Logger, changes []quarantine.Change) {
 	for _, c := range changes {
+		quarantined, released := MsgQuarantined, MsgReleased
+		if c.Kind == quarantine.Request {
+			quarantined, released = MsgRequestQuarantined, MsgRequestReleased
+		}
 		if c.Released {
-			log.Info(MsgReleased, KeySegment, SegmentID(c.Segment), KeyCause, string(c.Cause))
+			log.Info(released, subjectKey(c.Subject), SubjectID(c.ID), KeyCause, string(c.Cause))
 			continue
 		}
-		log.Warn(MsgQuarantined, KeySegment, SegmentID(c.Segment), KeyCause, string(c.Cause),
+		log.Warn(quarantined, subjectKey(c.Subject), SubjectID(c.ID), KeyCause, string(c.Cause),
 			KeyRounds, c.Rounds, KeyCrashes, c.Crashes, KeyTrialIn, c.TrialIn.Milliseconds())
 	}
 }
 
-// appendQuarantine appends the record of a refused request's quarantined segment.
+// appendQuarantine appends the record of a refused request's quarantined subject.
 func appendQuarantine(dst []slog.Attr, r quarantine.Record) []slog.Attr {
-	return append(dst, slog.String(KeySegment, SegmentID(r.Segment)), slog.Int(KeyRounds, r.Rounds),
+	return append(dst, slog.String(subjectKey(r.Subject), SubjectID(r.ID)), slog.Int(KeyRounds, r.Rounds),
 		slog.Int(KeyCrashes, r.Crashes), millis(KeyTrialIn, r.TrialIn))
 }
--- a/fleet/trace/step.go
+++ b/fleet/trace/step.go
@@ -186,7 +186,7 @@
 		dst = append(dst, slog.String(KeyRateLimit, "malformed"))
 	}
 	if s.Digest != 0 {
-		dst = append(dst, slog.String(KeyDigest, SegmentID(s.Digest)))
+		dst = append(dst, slog.String(KeyDigest, SubjectID(s.Digest)))
 	}
 	return appendText(dst, KeySegments, SegmentIDs(s.SharedSegments))
 }
--- a/fleet/wire/serve.go
+++ b/fleet/wire/serve.go
@@ -64,7 +64,7 @@
 	// Gateways is the number of linked gateways; set when it changed.
 	Gateways int `cbor:"15,keyasint,omitempty"`
 
-	// Quarantine are records of quarantined prompt segments: from the gateway those that
+	// Quarantine are records of quarantined prompt segments and requests: from the gateway those that
 	// it knows when it links, from the controller those that changed.
 	Quarantine []quarantine.Record `cbor:"21,keyasint,omitempty"`
 	// QuarantineComplete reports that Quarantine holds all records of the controller.
@@ -99,6 +99,8 @@
 	Upstream string          `cbor:"2,keyasint"`
 	Team     string          `cbor:"3,keyasint,omitempty"`
 	Prompt   dispatch.Prompt `cbor:"4,keyasint,omitempty"`
+	// Digest is that of dispatch.Request.
+	Digest uint64 `cbor:"7,keyasint,omitempty"`
 	// Started is true if the answer has begun.
 	Started bool `cbor:"5,keyasint,omitempty"`
 	// Counted is true if the gateway's Accounts include the request, which is so if it
--- a/fleet/wire/serve_test.go
+++ b/fleet/wire/serve_test.go
@@ -8,6 +8,7 @@
 
 	"baobabpaddle/fleet/dispatch"
 	"baobabpaddle/fleet/link"
+	"baobabpaddle/fleet/quarantine"
 )
 
 // olderEnded is Ended as older peers know it.
@@ -74,3 +75,40 @@
 		is.Equal(read.Exactly(), outcome)
 	}
 }
+
+// olderRecord is quarantine.Record as peers know it that quarantine only segments.
+type olderRecord struct {
+	Segment uint64 `cbor:"1,keyasint"`
+	Rounds  int    `cbor:"2,keyasint,omitempty"`
+}
+
+// TestQuarantinedRequestsAreReadByOlderPeers guards against records that peers of another
+// version can't read, in both directions.
+func TestQuarantinedRequestsAreReadByOlderPeers(t *testing.T) {
+	is := is.New(t)
+	sent := quarantine.Record{
+		Subject: quarantine.Subject{
+			ID:   77,
+			Kind: quarantine.Request,
+		},
+		Rounds: 3,
+	}
+	data, err := link.Encode(sent)
+	is.NoErr(err)
+	var old olderRecord
+	is.NoErr(cbor.Unmarshal(data, &old))
+	is.Equal(old, olderRecord{
+		Segment: 77,
+		Rounds:  3,
+	})
+	var read quarantine.Record
+	is.NoErr(cbor.Unmarshal(data, &read))
+	is.Equal(read, sent)
+	if data, err = link.Encode(old); err != nil {
+		t.Fatal(err)
+	}
+	read = quarantine.Record{}
+	is.NoErr(cbor.Unmarshal(data, &read))
+	is.Equal(read.Kind, quarantine.Segment)
+	is.Equal(read.ID, uint64(77))
+}
--- a/gateway/internal/controller/link.go
+++ b/gateway/internal/controller/link.go
@@ -311,6 +311,7 @@
 			Upstream: p.Upstream,
 			Team:     p.Team,
 			Prompt:   p.Prompt,
+			Digest:   p.Digest,
 			Started:  p.Started,
 			Counted:  true,
 		})
--- a/gateway/internal/controller/place.go
+++ b/gateway/internal/controller/place.go
@@ -74,6 +74,7 @@
 			Upstream: d.Upstream,
 			Team:     w.request.Team,
 			Prompt:   w.request.Prompt,
+			Digest:   w.request.Digest,
 		})
 	}
 	w.reply <- d
--- a/gateway/internal/controller/quarantine_test.go
+++ b/gateway/internal/controller/quarantine_test.go
@@ -39,7 +39,9 @@
 		_ = l.conns[0].Send(wire.Serve{
 			Quarantine: []quarantine.Record{
 				{
-					Segment: 77,
+					Subject: quarantine.Subject{
+						ID: 77,
+					},
 					Rounds:  3,
 					Crashes: 3,
 					TrialIn: time.Minute,
@@ -66,7 +68,7 @@
 		leader.set(func(l *fakeLeader) {
 			for _, f := range l.frames {
 				for _, r := range f.Quarantine {
-					found = found || r.Segment == 77 && r.Rounds == 3
+					found = found || r.ID == 77 && r.Rounds == 3
 				}
 			}
 		})
@@ -86,8 +88,10 @@
 		_ = l.conns[0].Send(wire.Serve{
 			Quarantine: []quarantine.Record{
 				{
-					Segment: 77,
-					Rounds:  3,
+					Subject: quarantine.Subject{
+						ID: 77,
+					},
+					Rounds: 3,
 				},
 			},
 		})
--- a/gateway/internal/controller/receive.go
+++ b/gateway/internal/controller/receive.go
@@ -145,6 +145,7 @@
 			Upstream: d.Upstream,
 			Team:     w.request.Team,
 			Prompt:   w.request.Prompt,
+			Digest:   w.request.Digest,
 		}, false)
 	}
 	d.Inputs.DecidedBy = dispatch.ByLeader
--- a/gateway/internal/serve/crash_test.go
+++ b/gateway/internal/serve/crash_test.go
@@ -3,12 +3,14 @@
 import (
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"baobabpaddle/fleet/dispatch"
+	"baobabpaddle/fleet/problem"
 	"baobabpaddle/fleet/quarantine"
 	"baobabpaddle/fleet/trace"
 )
@@ -79,7 +81,9 @@
 			Inputs: dispatch.Inputs{
 				DecidedBy: dispatch.ByLeader,
 				Quarantine: &quarantine.Record{
-					Segment: 0x91bd3f06,
+					Subject: quarantine.Subject{
+						ID: 0x91bd3f06,
+					},
 					Rounds:  4,
 					Crashes: 6,
 					TrialIn: 3 * time.Second,
@@ -120,3 +124,50 @@
 	is.Equal(response.StatusCode, http.StatusBadGateway)
 	is.Equal(g.requestCount(), 1)
 }
+
+// TestCrashOfPlainUpstreamIsReported guards against crashes of plain services that look like
+// broken answers, since their requests have no prompt.
+func TestCrashOfPlainUpstreamIsReported(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(t, nil)
+	g.setScript("a", func(w net.Conn, r *http.Request) bool {
+		g.mu.Lock()
+		g.listeners["a"].Close()
+		g.mu.Unlock()
+		return hangUp(w, r)
+	})
+	response, _, err := g.send("/book/")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusBadGateway)
+	is.Equal(g.reports(), []dispatch.Outcome{dispatch.Crashed})
+}
+
+// TestQuarantinedPlainRequestIsRefused checks what the caller of a request gets that crashes
+// upstreams, and that its line tells the digest.
+func TestQuarantinedPlainRequestIsRefused(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(t, reply("200 OK", stamp, "yes"))
+	g.scheduler.refuse = &dispatch.Decision{
+		Reason: dispatch.Quarantined,
+		Inputs: dispatch.Inputs{
+			DecidedBy: dispatch.ByLeader,
+			Quarantine: &quarantine.Record{
+				Subject: quarantine.Subject{
+					ID:   0xdc61922226435a05,
+					Kind: quarantine.Request,
+				},
+				Rounds:  3,
+				Crashes: 3,
+			},
+		},
+	}
+	l := captureLog(g)
+	response, body, err := g.send("/book/", "Baobabpaddle-Attempt-Id", "q1")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusBadRequest)
+	is.True(strings.Contains(body, string(problem.RequestCrashes)))
+	is.Equal(g.requestCount(), 0)
+	line := l.waitFor(t, "q1", trace.MsgRefused)[0]
+	is.Equal(line[trace.KeyDigest], "dc61922226435a05")
+	is.Equal(line[trace.KeyCrashes], 3.0)
+}
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -12,6 +12,7 @@
 	"baobabpaddle/fleet/configuration"
 	"baobabpaddle/fleet/dispatch"
 	"baobabpaddle/fleet/problem"
+	"baobabpaddle/fleet/quarantine"
 	"baobabpaddle/fleet/trace"
 	"baobabpaddle/gateway/internal/upstream"
 )
@@ -137,6 +138,7 @@
 		Remaining:  time.Until(x.deadline),
 		Excluded:   x.tried,
 		Resumed:    x.headSent || x.mayHaveRun,
+		Digest:     x.digest(),
 		Idempotent: x.route.Idempotent(),
 	}
 }
@@ -166,9 +168,14 @@
 	}
 }
 
-// refuseQuarantined refuses a request with a prompt segment that crashes upstreams. Without
-// a retry delay the refusal is final: callers don't retry a request with status 400.
+// refuseQuarantined refuses a request that crashes upstreams, or one with a prompt segment
+// that does. Without a retry delay the refusal is final: callers don't retry a request with
+// status 400.
 func (x *exchange) refuseQuarantined(d dispatch.Decision) {
+	if d.Inputs.Quarantine != nil && d.Inputs.Quarantine.Kind == quarantine.Request {
+		x.refuseCrashingRequest(d)
+		return
+	}
 	if d.RetryAfter > 0 {
 		x.refuseWithReason(d.Reason, d.Inputs, http.StatusServiceUnavailable, problem.PromptCrashes, "upstreams crashed with requests like this one", d.RetryAfter)
 		return
@@ -176,6 +183,15 @@
 	x.refuseWithReason(d.Reason, d.Inputs, http.StatusBadRequest, problem.PromptCrashes, "a part of the prompt crashes upstreams", 0)
 }
 
+// refuseCrashingRequest refuses a request that crashes upstreams.
+func (x *exchange) refuseCrashingRequest(d dispatch.Decision) {
+	if d.RetryAfter > 0 {
+		x.refuseWithReason(d.Reason, d.Inputs, http.StatusServiceUnavailable, problem.RequestCrashes, "upstreams crashed with this request", d.RetryAfter)
+		return
+	}
+	x.refuseWithReason(d.Reason, d.Inputs, http.StatusBadRequest, problem.RequestCrashes, "this request crashes upstreams", 0)
+}
+
 // finishFailed ends a request after its last attempt failed with the given result. If
 // the answer has started, it panics with http.ErrAbortHandler.
 func (x *exchange) finishFailed(result outcome) {
@@ -375,7 +391,7 @@
 // host then refuses connections.
 func (x *exchange) reportBroken(id uint64, address string) {
 	outcome := dispatch.Broken
-	if x.call.Prompt.Tokens > 0 && x.handler.client.Refuses(address) {
+	if x.handler.client.Refuses(address) {
 		outcome = dispatch.Crashed
 	}
 	x.handler.scheduler.ReportOutcome(id, outcome)
