--- a/fleet/dispatch/crash_model_test.go
+++ b/fleet/dispatch/crash_model_test.go
@@ -203,18 +203,6 @@
 	m.inFlight[q.engine] = slices.DeleteFunc(m.inFlight[q.engine], func(other *modelRequest) bool { return other == q })
 }
 
-// play runs the model for a time and calls arrive once a millisecond.
-func (m *crashModel) play(span time.Duration, arrive func()) {
-	for end := m.now.Add(span); m.now.Before(end); m.now = m.now.Add(time.Millisecond) {
-		arrive()
-		m.advance()
-	}
-}
-
-// perSecond reports whether an event of a Poisson process of the given rate occurs within
-// this millisecond.
-func (m *crashModel) perSecond(rate float64) bool { return m.random.Float64() < rate/1000 }
-
 // reachedAfterBound returns the number of requests with a crashing segment that reached
 // running engines later than crashGrace after the fifth crash.
 func (m *crashModel) reachedAfterBound() int {
--- a/fleet/dispatch/crash_test.go
+++ b/fleet/dispatch/crash_test.go
@@ -21,10 +21,10 @@
 // the given rates, in requests a second.
 func (m *crashModel) chats(sound, crashing float64) func() {
 	return func() {
-		if m.perSecond(sound) {
+		if perSecond(m.random, sound) {
 			m.submit(m.chat())
 		}
-		if m.perSecond(crashing) {
+		if perSecond(m.random, crashing) {
 			m.submit(m.chat(crashingSegment))
 		}
 	}
@@ -58,13 +58,13 @@
 		is := is.New(t)
 		m := newCrashModel(seed, 15, crashingSegment, crashingSegment+1)
 		m.play(25*time.Second, func() {
-			if m.perSecond(85) {
+			if perSecond(m.random, 85) {
 				m.submit(m.chat())
 			}
-			if m.perSecond(5) {
+			if perSecond(m.random, 5) {
 				m.submit(m.chat(crashingSegment))
 			}
-			if m.perSecond(5) {
+			if perSecond(m.random, 5) {
 				m.submit(m.chat(9, crashingSegment+1))
 			}
 		})
@@ -81,10 +81,10 @@
 		is := is.New(t)
 		m := newCrashModel(seed, 9, crashingSegment)
 		m.play(60*time.Second, func() {
-			if m.perSecond(85) {
+			if perSecond(m.random, 85) {
 				m.submit(m.chat(9))
 			}
-			if m.perSecond(1) {
+			if perSecond(m.random, 1) {
 				m.submit(m.chat(9, crashingSegment))
 			}
 		})
@@ -102,10 +102,10 @@
 		m := newCrashModel(seed, 30, crashingSegment)
 		burst := 30
 		m.play(20*time.Second, func() {
-			if m.perSecond(200) {
+			if perSecond(m.random, 200) {
 				m.submit(m.chat())
 			}
-			if m.now.Sub(epoch) > 3*time.Second && (burst > 0 || m.perSecond(10)) {
+			if m.now.Sub(epoch) > 3*time.Second && (burst > 0 || perSecond(m.random, 10)) {
 				burst--
 				m.submit(m.chat(crashingSegment))
 			}
@@ -166,7 +166,7 @@
 		is := is.New(t)
 		m := crashHalf(seed, 1500*time.Millisecond)
 		arrive := func() {
-			if m.perSecond(85) {
+			if perSecond(m.random, 85) {
 				m.submit(m.chat(10 + uint64(m.random.IntN(8))))
 			}
 		}
@@ -192,7 +192,7 @@
 				}
 			}
 		}
-		if m.perSecond(85) {
+		if perSecond(m.random, 85) {
 			m.submit(m.chat(10 + uint64(m.random.IntN(8))))
 		}
 	})
@@ -222,7 +222,7 @@
 	m := newCrashModel(seed, 12)
 	next := epoch.Add(time.Second)
 	arrive := func() {
-		if m.perSecond(85) {
+		if perSecond(m.random, 85) {
 			m.submit(m.chat(10 + uint64(m.random.IntN(8))))
 		}
 	}
@@ -298,13 +298,13 @@
 		served, asked := 0, 0
 		var sound []*modelRequest
 		m.play(25*time.Second, func() {
-			if m.perSecond(85) {
+			if perSecond(m.random, 85) {
 				m.submit(m.chat())
 			}
-			if m.perSecond(10) {
+			if perSecond(m.random, 10) {
 				m.submit(m.chat(companion, crashingSegment))
 			}
-			if m.perSecond(2) {
+			if perSecond(m.random, 2) {
 				q := m.chat(companion)
 				sound = append(sound, q)
 				m.submit(q)
--- a/fleet/dispatch/model_test.go
+++ b/fleet/dispatch/model_test.go
@@ -71,18 +71,12 @@
 	sharedPrefilled float64
 }
 
-type event struct {
-	at  time.Time
-	run func()
-}
-
 // simulation drives a Scheduler with modelled engines under a simulated clock.
 type simulation struct {
+	eventQueue
 	scheduler *Scheduler
-	now       time.Time
 	random    *rand.Rand
 	engines   map[string]*engineModel
-	events    []event
 	nextID    uint64
 	// ledger, if set, records the requests that engines started and those refused.
 	ledger *ledger
@@ -120,8 +114,10 @@
 
 func newSimulation(seed uint64, engines int) *simulation {
 	sim := &simulation{
+		eventQueue: eventQueue{
+			now: epoch,
+		},
 		scheduler: New(Settings{}, rand.New(rand.NewPCG(seed, 1))),
-		now:       epoch,
 		random:    rand.New(rand.NewPCG(seed, 2)),
 		engines:   make(map[string]*engineModel),
 	}
@@ -152,13 +148,6 @@
 	return out
 }
 
-func (sim *simulation) at(t time.Time, run func()) {
-	sim.events = append(sim.events, event{
-		at:  t,
-		run: run,
-	})
-}
-
 // run runs a scenario on nine engines and returns its result.
 func run(p scenario) *result {
 	sim := newSimulation(p.seed, 9)
@@ -185,22 +174,6 @@
 	return out
 }
 
-func (sim *simulation) advance() {
-	kept := sim.events[:0]
-	var ready []event
-	for _, e := range sim.events {
-		if e.at.After(sim.now) {
-			kept = append(kept, e)
-		} else {
-			ready = append(ready, e)
-		}
-	}
-	sim.events = kept
-	for _, e := range ready {
-		e.run()
-	}
-}
-
 func tallyFor(m map[string]*tally, name string) *tally {
 	if m[name] == nil {
 		m[name] = &tally{}
--- a/fleet/dispatch/rate_limit_model_test.go
+++ b/fleet/dispatch/rate_limit_model_test.go
@@ -32,13 +32,12 @@
 // limitModel models a fleet whose upstreams state rate limits: a leader, gateways that
 // decide alone while they are not linked to it, and the reports between them.
 type limitModel struct {
-	now      time.Time
+	eventQueue
 	random   *rand.Rand
 	leader   *Scheduler // nil while there is none
 	gateways []*limitGateway
 	engines  int
 	service  string
-	events   []event
 	nextID   uint64
 	// limit returns the limit that an upstream states at a time, or zero.
 	limit func(engine int, since time.Duration) float64
@@ -55,7 +54,9 @@
 
 func newLimitModel(seed uint64, engines, gateways int, service string) *limitModel {
 	m := &limitModel{
-		now:      epoch,
+		eventQueue: eventQueue{
+			now: epoch,
+		},
 		random:   rand.New(rand.NewPCG(seed, 3)),
 		engines:  engines,
 		service:  service,
@@ -122,13 +123,6 @@
 	m.leader.RemoveGateway(m.now, g.name)
 }
 
-func (m *limitModel) at(t time.Time, run func()) {
-	m.events = append(m.events, event{
-		at:  t,
-		run: run,
-	})
-}
-
 // submit has a random gateway place a request and sends it to the upstream.
 func (m *limitModel) submit(r Request) {
 	m.nextID++
@@ -232,27 +226,18 @@
 
 // play runs the model for a time and calls arrive once a millisecond.
 func (m *limitModel) play(span time.Duration, arrive func()) {
-	for end := m.now.Add(span); m.now.Before(end); m.now = m.now.Add(time.Millisecond) {
+	m.eventQueue.play(span, func() {
 		if m.now.Sub(epoch)%publishInterval == 0 {
 			m.publish()
 		}
 		arrive()
-		ready := m.events
-		m.events = nil
-		for _, e := range ready {
-			if e.at.After(m.now) {
-				m.events = append(m.events, e)
-				continue
-			}
-			e.run()
-		}
-	}
+	})
 }
 
-// chats returns a function that submits chats of some teams, perSecond in all.
-func (m *limitModel) chats(perSecond float64, teams int) func() {
+// chats returns a function that submits chats of some teams, at a rate per second.
+func (m *limitModel) chats(rate float64, teams int) func() {
 	return func() {
-		for m.random.Float64() < perSecond/1000 {
+		for perSecond(m.random, rate) {
 			m.submit(m.chat(fmt.Sprintf("t%02d", m.random.IntN(teams)), 628))
 		}
 	}
@@ -279,9 +264,9 @@
 }
 
 // plainRequests returns a function that submits requests to a plain service.
-func (m *limitModel) plainRequests(perSecond float64) func() {
+func (m *limitModel) plainRequests(rate float64) func() {
 	return func() {
-		for m.random.Float64() < perSecond/1000 {
+		for perSecond(m.random, rate) {
 			m.submit(Request{
 				Zone:      zoneA,
 				Objective: 100 * time.Millisecond,
--- a/fleet/dispatch/rate_limit_test.go
+++ b/fleet/dispatch/rate_limit_test.go
@@ -89,7 +89,7 @@
 		others := m.chats(60, 8)
 		m.play(30*second, func() {
 			others()
-			if m.random.Float64() < 75.0/1000 {
+			if perSecond(m.random, 75) {
 				m.submit(m.chat("flood", 628))
 			}
 		})
@@ -116,10 +116,10 @@
 		m := newLimitModel(seed, 9, 6, "llm")
 		m.limit = between(0, 60*second, 3, 3, 3, 3, 3, 3, 3, 3, 3)
 		m.play(40*second, func() {
-			for m.random.Float64() < 100.0/1000 {
+			for perSecond(m.random, 100) {
 				m.submit(m.chat("cheap", 600))
 			}
-			for m.random.Float64() < 100.0/1000 {
+			for perSecond(m.random, 100) {
 				m.submit(m.chat("dear", 6000))
 			}
 		})
--- a/fleet/dispatch/request.go
+++ b/fleet/dispatch/request.go
@@ -80,7 +80,7 @@
 	// are busy.
 	Resumed bool `cbor:"9,keyasint,omitempty"`
 	// Digest identifies requests with the same target, team and body, at any gateway. It is
-	// zero if the gateway doesn't tell.
+	// zero if the gateway sends none.
 	Digest uint64 `cbor:"12,keyasint,omitempty"`
 	// Idempotent reports whether the request may be sent again if it fails. Such requests
 	// are the first to probe an upstream after a suspension.
--- a/fleet/quarantine/doc.go
+++ b/fleet/quarantine/doc.go
@@ -16,8 +16,8 @@
 // with each failed trial. A trial fails if its upstream crashes and no more than one other
 // does at that moment. Subjects that were at the same crashes are quarantined together; a
 // request that has some of them and not all is sent as a trial at once, since its answer
-// distinguishes them: a sound request with the same segment tells the segment from the
-// request that crashes upstreams. Testing single requests in turn rather than groups is
+// distinguishes them: that to a sound request with the same segment clears the segment and
+// leaves the request that crashes upstreams. Testing single requests in turn rather than groups is
 // cheap here, since few subjects are suspects at any time (Dorfman, "The Detection of
 // Defective Members of Large Populations", Annals of Mathematical Statistics 14, 1943).
 //
--- a/fleet/quarantine/subject.go
+++ b/fleet/quarantine/subject.go
@@ -27,8 +27,8 @@
 }
 
 // lateCrashes returns the number of crashes from which only maxLateTrials further trials
-// follow once refusals are final. Requests with one segment differ, so that it takes more
-// crashes to tell the segment from the others than to tell a request from those beside it.
+// follow once refusals are final. Requests with one segment have others in common, too, so
+// that it takes more crashes to single out a segment than a request.
 func (k Kind) lateCrashes() int {
 	if k == Request {
 		return 3
--- a/gateway/internal/serve/crash_test.go
+++ b/gateway/internal/serve/crash_test.go
@@ -143,7 +143,7 @@
 }
 
 // TestQuarantinedPlainRequestIsRefused checks what the caller of a request gets that crashes
-// upstreams, and that its line tells the digest.
+// upstreams, and that the log line has the digest.
 func TestQuarantinedPlainRequestIsRefused(t *testing.T) {
 	is := is.New(t)
 	g := newTestGateway(t, reply("200 OK", stamp, "yes"))
