--- a/fleet/dispatch/request_crash_test.go
+++ b/fleet/dispatch/request_crash_test.go
@@ -84,7 +84,16 @@
 // too, because upstreams crash for reasons of their own: one, half of them or all, again and
 // again.
 func TestUnrelatedCrashesRefuseNoRequest(t *testing.T) {
-	for _, together := range []int{1, 2, 4} {
+	for _, c := range []struct {
+		together int
+		every    time.Duration
+	}{
+		{1, 1500 * time.Millisecond},
+		{2, 1500 * time.Millisecond},
+		{2, 5 * time.Second},
+		{4, 3500 * time.Millisecond}, // all are up for 0.3 s at a time
+		{4, 5 * time.Second},
+	} {
 		for seed := range uint64(10) {
 			is := is.New(t)
 			m := newPlainModel(seed, 4)
@@ -92,14 +101,15 @@
 			m.play(40*time.Second, func() {
 				m.sound()
 				if !m.now.Before(next) {
-					next = m.now.Add(5 * time.Second)
-					for i := range together {
-						m.crash(engineName(i))
+					next = m.now.Add(c.every)
+					first := m.random.IntN(4)
+					for i := range c.together {
+						m.crash(engineName((first + i) % 4))
 					}
 				}
 			})
 			requested, _, refused := m.countSound()
-			t.Logf("%d together, seed %d: %d of %d sound requests refused", together, seed, refused, requested)
+			t.Logf("%d together every %v, seed %d: %d of %d sound requests refused", c.together, c.every, seed, refused, requested)
 			is.True(200*refused <= requested)
 		}
 	}
