--- a/fleet/dispatch/scheduler.go
+++ b/fleet/dispatch/scheduler.go
@@ -27,8 +27,8 @@
 	// capacity is the part of the declared throughput that rate limits leave.
 	capacity float64
 	changes  []SuspensionChange
-	// quarantine holds the evidence against prompt segments and requests. Started and crashedTrials are
-	// requests that become evidence at a later time, in its order.
+	// quarantine holds the evidence against prompt segments and requests. Started and
+	// crashedTrials are requests that become evidence at a later time, in its order.
 	quarantine    *quarantine.Register
 	started       []startedRequest
 	crashedTrials []crashedTrial
