--- a/fleet/dispatch/evidence.go
+++ b/fleet/dispatch/evidence.go
@@ -9,7 +9,7 @@
 
 // Constants of the evidence against prompt segments and requests.
 const (
-	// soundAfter is the duration of an answer from which it clears the segments, even if it
+	// soundAfter is the duration of an answer from which it clears its subjects, even if it
 	// is not complete. An engine may send the first tokens before it crashes.
 	soundAfter = 300 * time.Millisecond
 	// crashWindow is the time in which requests that broke off count for the same crash of
@@ -21,14 +21,14 @@
 	maxTrialCrashes = 2
 	// maxCrashTimes is the number of crashes whose times are kept.
 	maxCrashTimes = 64
-	// answeredMemory is the time for which the segments of present answers are not
+	// answeredMemory is the time for which the subjects of present answers are not
 	// collected again.
 	answeredMemory = 50 * time.Millisecond
 	// trialRunningCost is the cost of each running request at the engine that gets a
 	// trial, in prompt tokens.
 	trialRunningCost = 2000.0
 	// minTrialRetryAfter and maxTrialRetryAfter bound the delay after which a caller whose
-	// segment is being tried should retry. Most trials are decided by then.
+	// request or segment is being tried should retry. Most trials are decided by then.
 	minTrialRetryAfter = 300 * time.Millisecond
 	maxTrialRetryAfter = 900 * time.Millisecond
 )
@@ -254,8 +254,8 @@
 	return e.crash
 }
 
-// SetFollowing sets whether another Scheduler decides at present. While it does, that one
-// keeps the evidence against prompt segments and requests, which sees the requests of all gateways.
+// SetFollowing sets whether another Scheduler decides at present. While it does, that one,
+// which sees the requests of all gateways, keeps the evidence against segments and requests.
 func (s *Scheduler) SetFollowing(following bool) { s.following = following }
 
 // Quarantine returns the evidence against prompt segments and requests.
--- a/fleet/quarantine/verdict.go
+++ b/fleet/quarantine/verdict.go
@@ -17,9 +17,8 @@
 	Refuse
 )
 
-// Check decides on a request with the given subjects. The record is
-// that of the quarantined subject which the verdict follows from; it is empty if the
-// verdict is Allow.
+// Check decides on a request with the given subjects. The record is that of the quarantined
+// subject which the verdict follows from; it is empty if the verdict is Allow.
 func (r *Register) Check(now time.Time, subjects []Subject) (Verdict, Record) {
 	verdict, decisive := Allow, Record{}
 	for _, subject := range subjects {
