replica, peer: log and count why no leader is known

Change: one line a second while a replica knows no leader, with reason, term, votes, links, members and disk; a line for each membership, for a group learned by gossip and for an empty folder that waits; gauges of the voters and links. No decision changes.

--- a/controller/internal/peer/gossip.go
+++ b/controller/internal/peer/gossip.go
@@ -80,7 +80,12 @@
 		p.log.Warn("gossip of a controller can't be decoded, ignored", "peer", address, "cause", err)
 		return
 	}
+	before := p.core.Group()
 	p.core.Merge(time.Now(), gossip)
+	if after := p.core.Group(); after.Index != before.Index {
+		p.log.Info("newer group known from gossip", "peer", address, "index", after.Index, "before", before.Index,
+			"voters", after.Members.Voters(), "members", len(after.Members.List), "leader", after.Leader)
+	}
 }
 
 // client returns a client for the calls of the controller at an address.
--- a/controller/internal/peer/member.go
+++ b/controller/internal/peer/member.go
@@ -27,6 +27,8 @@
 	// retryInterval is the pause before a disk that failed is opened again, and
 	// between two attempts to join the group.
 	retryInterval = 200 * time.Millisecond
+	// waitLogInterval is the time between two log lines about an empty data folder.
+	waitLogInterval = time.Second
 	// diskIDBytes is the size of a disk identifier before its encoding.
 	diskIDBytes = 16
 	// replicaIDBits is the size of a generated replica identifier; below 64 bits it is
@@ -47,6 +49,9 @@
 	log      *slog.Logger
 
 	current atomic.Pointer[replica.Replica] // nil while none runs
+	// waitLogAt is when an empty data folder that waits for a group is logged next. Only
+	// the goroutine of Run uses it.
+	waitLogAt time.Time
 }
 
 // NewMember returns a member with the given data folder; an empty folder means that
@@ -129,6 +134,7 @@
 		self = c.Gossip().Self.Address
 	})
 	if step == membership.Wait {
+		m.logWait()
 		return nil
 	}
 	identity, err := newIdentity()
@@ -150,6 +156,18 @@
 	return disk.Init(m.folder, identity)
 }
 
+// logWait logs, at most once in waitLogInterval, that no group is known to join.
+func (m *Member) logWait() {
+	now := time.Now()
+	if now.Before(m.waitLogAt) {
+		return
+	}
+	m.waitLogAt = now.Add(waitLogInterval)
+	gossip := m.peers.Gossip()
+	m.log.Info("data folder is empty and no group is known yet", "founder", gossip.Founder,
+		"first_start", gossip.Self.FirstStart, "peers", len(gossip.Peers))
+}
+
 // newIdentity returns an identity with random identifiers, the replica's from 1 to
 // 2^48.
 func newIdentity() (disk.Identity, error) {
--- a/controller/internal/replica/apply.go
+++ b/controller/internal/replica/apply.go
@@ -192,7 +192,11 @@
 	}
 	delete(r.unconfirmedReads, readState.Context)
 	if readState.Failed {
-		req.done <- ErrNoQuorum
+		err := ErrNoQuorum
+		if r.core.Leader() == 0 {
+			err = merry.Append(ErrNoQuorum, "no leader is known")
+		}
+		req.done <- err
 		return
 	}
 	r.confirmedReads = append(r.confirmedReads, confirmedRead{
--- a/controller/internal/replica/network.go
+++ b/controller/internal/replica/network.go
@@ -37,6 +37,10 @@
 	cancels map[uint64]context.CancelFunc
 	// peerDisks are the disks that peers have named in their hello.
 	peerDisks map[uint64]string
+
+	// leaderlessSince is when the goroutine of start first found that no leader is
+	// known; zero while one is. Only that goroutine uses it.
+	leaderlessSince time.Time
 }
 
 func newNetwork(r *Replica, dialer link.Dialer) *network {
@@ -59,6 +63,7 @@
 		for {
 			n.reconcileLinks(ctx)
 			n.bindPeerDisks(ctx)
+			n.watchLeader(time.Now())
 			select {
 			case <-ctx.Done():
 				return
--- a/controller/internal/replica/replica.go
+++ b/controller/internal/replica/replica.go
@@ -40,7 +40,8 @@
 	ErrNotLeader = merry.Sentinel("not the leader")
 	// ErrOutcomeUnknown reports that the command may or may not take effect.
 	ErrOutcomeUnknown = merry.Sentinel("the outcome of the proposal is not known")
-	// ErrNoQuorum reports that no majority confirmed a read in time.
+	// ErrNoQuorum reports that no leader is known or that no majority confirmed a read
+	// in time.
 	ErrNoQuorum = merry.Sentinel("no quorum")
 	// ErrDiskMismatch reports that the log binds a replica's identifier to a disk
 	// other than the one the replica has. A replica on an empty disk must not take
@@ -70,15 +71,23 @@
 	Term      uint64 `json:"term"`
 	// Leader is the leader's replica identifier; zero means none is known.
 	Leader uint64 `json:"leader"`
+	// Vote is the candidate that the replica has voted for in the term; zero means
+	// none. Votes are the voters that have granted theirs to this replica.
+	Vote  uint64   `json:"vote"`
+	Votes []uint64 `json:"votes"`
 	// Commit and Applied are the indexes of the last committed and the last applied
 	// entry.
 	Commit   uint64 `json:"commit"`
 	Applied  uint64 `json:"applied"`
 	LogBytes int64  `json:"log_bytes"`
+	// LastIndex is the index of the last log entry, committed or not.
+	LastIndex uint64 `json:"last_index"`
 	// Revision is the revision of the resources.
 	Revision uint64 `json:"revision"`
 	// Members is the newest membership in the log, committed or not.
 	Members raft.Members `json:"members"`
+	// MembersIndex is the log index of the entry, or of the snapshot, that holds Members.
+	MembersIndex uint64 `json:"members_index"`
 	// CommittedMembers is the newest committed membership.
 	CommittedMembers raft.Members `json:"-"`
 	// CommittedMembersIndex is the log index of the entry, or of the snapshot, that
@@ -354,20 +363,27 @@
 	revision := r.state.Revision
 	r.mu.RUnlock()
 	committed, index := r.core.CommittedMembers()
-	r.status.Store(&Status{
+	status := &Status{
 		ReplicaID: r.store.Identity.ReplicaID,
 		Role:      r.core.Role().String(),
 		Term:      r.core.Term(),
 		Leader:    r.core.Leader(),
+		Vote:      r.core.Vote(),
+		Votes:     r.core.Votes(),
 		Commit:    r.core.Commit(),
 		Applied:   r.applied,
 		LogBytes:  r.store.LogBytes(),
+		LastIndex: r.core.LastIndex(),
 		Revision:  revision,
 		Members:   r.core.Members(),
 
+		MembersIndex:          r.core.MembersIndex(),
 		CommittedMembers:      committed,
 		CommittedMembersIndex: index,
-	})
+	}
+	if before := r.status.Swap(status); before != nil {
+		r.logMembers(before, status)
+	}
 }
 
 // Peer is the role that other replicas authenticate as.
--- a/controller/serve_metrics.go
+++ b/controller/serve_metrics.go
@@ -16,6 +16,18 @@
 		}
 		return 0
 	})
+	m.Gauge("controller_leader_known", p.replicaGauge(func(r *replica.Replica) float64 {
+		if r.Status().Leader != 0 {
+			return 1
+		}
+		return 0
+	}))
+	m.Gauge("controller_voters", p.replicaGauge(func(r *replica.Replica) float64 {
+		members := r.Status().Members
+		return float64(members.Voters())
+	}))
+	m.Gauge("controller_voters_linked", p.replicaGauge(func(r *replica.Replica) float64 { return float64(r.LinkedVoters()) }))
+	m.Gauge("controller_members_index", p.replicaGauge(func(r *replica.Replica) float64 { return float64(r.Status().MembersIndex) }))
 	m.Gauge("controller_term", p.replicaGauge(func(r *replica.Replica) float64 { return float64(r.Status().Term) }))
 	m.Gauge("controller_commit_index", p.replicaGauge(func(r *replica.Replica) float64 { return float64(r.Status().Commit) }))
 	m.Gauge("controller_log_bytes", p.replicaGauge(func(r *replica.Replica) float64 { return float64(r.Status().LogBytes) }))
--- a/fleet/raft/core.go
+++ b/fleet/raft/core.go
@@ -1,7 +1,9 @@
 package raft
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -125,6 +127,14 @@
 // Leader returns the leader's identifier, or zero when no leader is known.
 func (c *Core) Leader() uint64 { return c.leader }
 
+// Vote returns the candidate that this replica has voted for in the current term, or
+// zero.
+func (c *Core) Vote() uint64 { return c.hardState.Vote }
+
+// Votes returns the voters that have granted their vote or pre-vote in the present
+// campaign, in ascending order. It returns nil outside a campaign.
+func (c *Core) Votes() []uint64 { return slices.Sorted(maps.Keys(c.votes)) }
+
 // Commit returns the highest index known to be committed.
 func (c *Core) Commit() uint64 { return c.hardState.Commit }
 
@@ -138,6 +148,10 @@
 // in the log, committed or not.
 func (c *Core) Members() Members { return c.members.Clone() }
 
+// MembersIndex returns the index of the entry, or of the snapshot, that holds the
+// membership in force.
+func (c *Core) MembersIndex() uint64 { return c.membersIndex }
+
 // CommittedMembers returns the newest committed membership, and the index of
 // its entry or of the snapshot that holds it.
 func (c *Core) CommittedMembers() (Members, uint64) {
