--- a/fleet/disk/store_test.go
+++ b/fleet/disk/store_test.go
@@ -274,15 +274,15 @@
 	f.Add(append(appendRecord(nil, payload), 0, 0, 0))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var restored raft.Restored
-		size, err := decodeLog(data, &restored)
+		size, entries, err := decodeLog(data, &restored)
 		if err != nil {
 			return
 		}
 		if size > int64(len(data)) {
 			t.Fatalf("decoded size is %d bytes, want at most %d", size, len(data))
 		}
-		for i := 1; i < len(restored.Entries); i++ {
-			if restored.Entries[i].Index != restored.Entries[i-1].Index+1 {
+		for i := 1; i < len(entries); i++ {
+			if entries[i].Index != entries[i-1].Index+1 {
 				t.Fatal("entry indexes are not consecutive")
 			}
 		}
