--- a/fleet/disk/store_test.go
+++ b/fleet/disk/store_test.go
@@ -181,6 +181,53 @@
 	is.Equal(after.Entries[0].Index, uint64(4))
 }
 
+// installInterrupted returns a folder in which the snapshot of a leader has replaced
+// the old one, but not yet the log of newFolder, and to which the entry after the
+// snapshot was appended since.
+func installInterrupted(t *testing.T, index uint64) string {
+	t.Helper()
+	is := is.New(t)
+	const term = 9
+	folder, _ := newFolder(t)
+	path := filepath.Join(folder, logFile)
+	oldLog, err := os.ReadFile(path)
+	is.NoErr(err)
+	s, restored, err := Open(folder)
+	is.NoErr(err)
+	is.NoErr(s.SaveSnapshot(raft.Snapshot{
+		Index: index,
+		Term:  term,
+		Data:  []byte("state"),
+	}, restored.HardState, nil))
+	s.Close()
+	is.NoErr(os.WriteFile(path, oldLog, fileMode))
+	s, restored, err = Open(folder)
+	is.NoErr(err)
+	is.Equal(restored.Snapshot.Index, index)
+	is.Equal(len(restored.Entries), 0)
+	is.NoErr(s.Append(nil, []raft.Entry{entry(index+1, term)}))
+	s.Close()
+	return folder
+}
+
+// TestStoreOpensAfterInterruptedInstall guards against a folder that is refused as
+// damaged at the second start after a power loss amid the install of a snapshot.
+func TestStoreOpensAfterInterruptedInstall(t *testing.T) {
+	is := is.New(t)
+	restored, err := reopen(installInterrupted(t, 9)) // the old log ends at entry 4
+	is.NoErr(err)
+	is.Equal(len(restored.Entries), 1)
+}
+
+// TestStoreKeepsEntriesAfterInterruptedInstall guards against the loss of entries
+// synced after a power loss amid the install of a snapshot over a conflicting log.
+func TestStoreKeepsEntriesAfterInterruptedInstall(t *testing.T) {
+	is := is.New(t)
+	restored, err := reopen(installInterrupted(t, 4)) // entry 4 of the old log has another term
+	is.NoErr(err)
+	is.Equal(len(restored.Entries), 1)
+}
+
 // TestStoreFailsAfterFullDisk writes to a full disk: the write and all later ones
 // fail, even once there is space again. Entries written before are kept.
 func TestStoreFailsAfterFullDisk(t *testing.T) {
