--- /dev/null
+++ b/fleet/membership/power_member_test.go
@@ -0,0 +1,254 @@
+package membership_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"baobabpaddle/fleet/disk"
+	"baobabpaddle/fleet/membership"
+	"baobabpaddle/fleet/raft"
+)
+
+// slowestOpen is the longest time that reading a data folder takes.
+const slowestOpen = 50 * time.Millisecond
+
+// maxHops bounds how often a change is forwarded, as in Unary.Execute.
+const maxHops = 2
+
+// runMember does what Member.Run does: it starts the replica of the data folder, or
+// prepares the folder if that is empty.
+func (h *host) runMember() {
+	w := h.fleet
+	h.after(w.draw(0, slowestOpen), func() {
+		identity, restored, err := h.folder.open(w.scratch)
+		switch {
+		case errors.Is(err, disk.ErrNoIdentity):
+			h.prepareFolder()
+		case err != nil:
+			if !h.damaged {
+				h.damaged = true
+				w.tracef("%s can't open its folder: %v", h.name, err)
+			}
+			h.after(memberInterval, h.runMember)
+		default:
+			h.replica = newReplica(h, identity.ReplicaID, identity.DiskID, restored)
+			last := restored.Snapshot.Index + uint64(len(restored.Entries))
+			w.tracef("%s starts replica %d, snapshot %d, last entry %d, term %d, members %s", h.name, identity.ReplicaID,
+				restored.Snapshot.Index, last, restored.HardState.Term, w.describe(h.replica.core.Members()))
+			h.gossip.SetReplica(identity.ReplicaID)
+			h.replica.reconcileLinks()
+			h.replica.wake()
+			h.replica.maintainMembership()
+		}
+	})
+}
+
+// prepareFolder does what Member.prepareFolder does.
+func (h *host) prepareFolder() {
+	w := h.fleet
+	h.gossip.SetReplica(0)
+	step := h.gossip.Next()
+	if step == membership.Wait {
+		h.after(memberInterval, h.runMember)
+		return
+	}
+	id := 1 + w.random.Uint64N(1<<20)
+	identity := disk.Identity{
+		ReplicaID: id,
+		DiskID:    fmt.Sprintf("disk-%d", id),
+	}
+	if step == membership.Bootstrap {
+		identity.Members = &raft.Members{
+			List: []raft.Member{
+				{
+					ID:      id,
+					Address: h.address,
+					Voter:   true,
+				},
+			},
+		}
+	}
+	w.tracef("%s prepares its folder for replica %d, founds=%v", h.name, id, step == membership.Bootstrap)
+	h.writeFolder(initWrites(identity))
+}
+
+// writeFolder makes writes durable one after the other while no replica runs, then
+// goes on with runMember.
+func (h *host) writeFolder(writes []write) {
+	if len(writes) == 0 {
+		h.after(memberInterval, h.runMember)
+		return
+	}
+	h.folder.inFlight = writes[:1]
+	h.after(h.fleet.draw(0, h.fleet.syncTime), func() {
+		h.folder.sync()
+		h.writeFolder(writes[1:])
+	})
+}
+
+// maintainMembership does what Member.maintainMembership does.
+func (r *replica) maintainMembership() {
+	h := r.host
+	if r.stopped {
+		return
+	}
+	if len(r.status.committed.List) > 0 {
+		h.gossip.SetGroup(membership.Group{
+			Members: r.status.committed,
+			Index:   r.status.committedIndex,
+			Leader:  r.leaderAddress(),
+		})
+	}
+	group := h.gossip.Group()
+	if h.gossip.Removed() {
+		h.fleet.tracef("%s was removed as replica %d and erases its folder", h.name, r.id)
+		h.folder.sync()
+		r.stop()
+		h.gossip.SetReplica(0)
+		h.writeFolder(eraseWrites())
+		return
+	}
+	if _, member := group.Members.Find(r.id); !member && len(group.Members.List) > 0 {
+		targets := []string{group.Leader}
+		if group.Leader == "" {
+			targets = nil
+			for _, m := range group.Members.List {
+				targets = append(targets, m.Address)
+			}
+		}
+		r.join(targets)
+		return
+	}
+	h.after(memberInterval, r.maintainMembership)
+}
+
+// join does what Member.join does, then goes on with maintainMembership.
+func (r *replica) join(targets []string) {
+	h := r.host
+	if r.stopped || len(targets) == 0 {
+		h.after(memberInterval, r.maintainMembership)
+		return
+	}
+	if h.reachable(targets[0]) == nil {
+		h.after(h.waitOfCall(callTimeout), func() { r.join(targets[1:]) })
+		return
+	}
+	h.after(h.fleet.latency(), func() {
+		joined := false
+		if target := h.reachable(targets[0]); target != nil {
+			joined = target.answerJoin(r.id, h.address)
+		}
+		if joined {
+			targets = targets[:1]
+		}
+		h.after(h.fleet.latency(), func() { r.join(targets[1:]) })
+	})
+}
+
+// answerJoin does what Unary.Join does.
+func (h *host) answerJoin(id uint64, address string) bool {
+	r := h.replica
+	if r == nil || r.status.role != raft.Leader {
+		return false
+	}
+	if _, ok := r.status.members.Find(id); ok {
+		return true
+	}
+	change := func(m raft.Members) (raft.Members, error) { return m.WithLearner(id, address) }
+	for _, m := range r.status.members.List {
+		if m.Address == address {
+			change = func(present raft.Members) (raft.Members, error) { return present.Without(m.ID) }
+		}
+	}
+	r.do(func() {
+		if next, err := change(r.core.Members()); err == nil {
+			// Refused while another change is under way; the replica asks again.
+			_, _ = r.core.ProposeMembers(h.fleet.now, next)
+		}
+	})
+	return false
+}
+
+// put sends a change to a host as an operator does. It is acknowledged when done is
+// called.
+func (h *host) put(version uint64, done func()) {
+	r := h.replica
+	if !h.up || r == nil || !h.enoughVoters() {
+		return
+	}
+	deadline := h.fleet.now.Add(replaceTimeout)
+	h.execute(version, 0, func() {
+		if h.up && !h.fleet.now.After(deadline) {
+			done()
+		}
+	})
+}
+
+// execute does what Forwarder.Execute does.
+func (h *host) execute(version uint64, hops int, done func()) {
+	r := h.replica
+	forward := func() {
+		target := h.reachable(h.leaderAddress())
+		if target == nil || target == h || hops >= maxHops {
+			return
+		}
+		h.after(h.fleet.latency(), func() {
+			target.execute(version, hops+1, func() {
+				if target.up {
+					h.after(h.fleet.latency(), done)
+				}
+			})
+		})
+	}
+	if r == nil {
+		forward()
+		return
+	}
+	r.do(func() {
+		r.propose(command{
+			Version: version,
+		}, func(applied bool) {
+			if applied {
+				done()
+			} else {
+				forward()
+			}
+		})
+	})
+}
+
+// enoughVoters does what ConfigurationAPI.enoughVoters does.
+func (h *host) enoughVoters() bool {
+	committed := h.replica.status.committed
+	return h.replica.state.Version > 0 || committed.Voters() >= min(2*h.fleet.tolerated+1, h.gossip.DiskControllers())
+}
+
+// change sends the next change to a host and records its acknowledgement.
+func (w *fleet) change(h *host) {
+	w.version++
+	version := w.version
+	h.put(version, func() {
+		w.acked = max(w.acked, version)
+	})
+}
+
+// describe returns the members with the names of their hosts, learners in brackets.
+func (w *fleet) describe(m raft.Members) string {
+	var out []string
+	for _, member := range m.List {
+		name := member.Address
+		for _, h := range w.hosts {
+			if h.address == member.Address {
+				name = h.name
+			}
+		}
+		name = fmt.Sprintf("%s:%d", name, member.ID)
+		if !member.Voter {
+			name = "(" + name + ")"
+		}
+		out = append(out, name)
+	}
+	return "{" + strings.Join(out, " ") + "}"
+}
