--- a/fleet/membership/power_model_test.go
+++ b/fleet/membership/power_model_test.go
@@ -69,6 +69,7 @@
 	tolerated     int           // hosts that may be lost at once
 	snapshotEvery uint64        // applied entries after which a log is compacted
 	syncTime      time.Duration // longest time of one sync
+	transferTime  time.Duration // of a snapshot from one replica to another
 	hangs         bool          // calls of a host that is down time out instead of being refused
 
 	seeds     []string
--- a/fleet/membership/power_network_test.go
+++ b/fleet/membership/power_network_test.go
@@ -193,6 +193,9 @@
 		receiver = l.from
 	}
 	at := w.now.Add(w.latency())
+	if m.Type == raft.MsgSnapshot {
+		at = at.Add(w.transferTime)
+	}
 	if last := l.lastAt[receiver]; at.Before(last) {
 		at = last
 	}
