--- a/fleet/membership/power_loss_test.go
+++ b/fleet/membership/power_loss_test.go
@@ -36,6 +36,8 @@
 	nextNumber  int
 	slowest     time.Duration // from the start of the last host to reads at all of them
 	accepted    time.Duration // from the start of the last host to an accepted change, the longest
+	evenSince   time.Time     // zero while the number of voters is odd or there is no leader
+	even        time.Duration // longest time with an even number of voters
 	late        string        // the first host that was no voter in time, or ""
 }
 
@@ -117,9 +119,23 @@
 			p.checkCaughtUp(h, leader)
 		}
 	}
+	p.measureEven(leader)
 	p.after(checkPause, p.watch)
 }
 
+// measureEven measures how long the number of voters is even while there is a leader. An
+// even number tolerates no more losses than the odd number below it.
+func (p *powerRun) measureEven(leader *replica) {
+	if leader == nil || leader.status.members.Voters()%2 == 1 {
+		p.evenSince = time.Time{}
+		return
+	}
+	if p.evenSince.IsZero() {
+		p.evenSince = p.now
+	}
+	p.even = max(p.even, p.now.Sub(p.evenSince))
+}
+
 // checkCaughtUp checks that the host, or the one in its place, is a voter catchUpTime
 // after it was started with a leader up. Its disk doesn't count as lost from then on.
 func (p *powerRun) checkCaughtUp(h *host, leader *replica) {
@@ -200,6 +216,7 @@
 	for _, h := range p.hosts {
 		h.firstStart = p.started
 	}
+	p.even = 0
 }
 
 // await runs until done reports true, at most for a span, and returns whether it did.
--- a/fleet/membership/power_schedules_test.go
+++ b/fleet/membership/power_schedules_test.go
@@ -31,7 +31,7 @@
 		first, count = seed, 1
 	}
 	scratch := t.TempDir()
-	slowest, accepted := time.Duration(0), time.Duration(0)
+	slowest, accepted, even := time.Duration(0), time.Duration(0), time.Duration(0)
 	failed, late := 0, 0
 	for seed := first; seed < first+count; seed++ {
 		p := newPowerRun(seed, c, scratch)
@@ -47,8 +47,10 @@
 		}
 		slowest = max(slowest, p.slowest)
 		accepted = max(accepted, p.accepted)
+		even = max(even, p.even)
 	}
-	t.Logf("schedules=%d failed=%d late=%d slowest_accept=%v slowest_read=%v", count, failed, late, accepted, slowest)
+	t.Logf("schedules=%d failed=%d late=%d slowest_accept=%v slowest_read=%v longest_even=%v",
+		count, failed, late, accepted, slowest, even)
 }
 
 // runCases runs the schedules of all cases with the same changes to each.
