--- a/fleet/raft/core.go
+++ b/fleet/raft/core.go
@@ -37,7 +37,10 @@
 	retransmitAt time.Time
 	// snapshotRetryAt is when an unanswered snapshot is sent again.
 	snapshotRetryAt time.Time
-	lastContact     time.Time
+	// staleReplies counts the replies since the snapshot was sent of a peer that has not
+	// installed it.
+	staleReplies int
+	lastContact  time.Time
 	// readAck is the highest read sequence that the peer has acknowledged.
 	readAck uint64
 }
--- a/fleet/raft/replication.go
+++ b/fleet/raft/replication.go
@@ -5,12 +5,9 @@
 	"time"
 )
 
-// Times, in heartbeat intervals, after which an unanswered append or snapshot is
-// sent again.
-const (
-	appendTimeoutHeartbeats   = 3
-	snapshotTimeoutHeartbeats = 50
-)
+// appendTimeoutHeartbeats is the time, in heartbeat intervals, after which an
+// unanswered append is sent again.
+const appendTimeoutHeartbeats = 3
 
 // Step handles a message from another replica. Messages to other identifiers and
 // messages from removed members are dropped.
@@ -141,38 +138,6 @@
 	return index
 }
 
-// stepSnapshot handles MsgSnapshot. It replaces the whole log, unless the
-// snapshot is not newer than what is committed here.
-func (c *Core) stepSnapshot(now time.Time, m Message) {
-	c.followLeader(now, m)
-	s := m.Snapshot
-	if s == nil || s.Index <= c.hardState.Commit {
-		c.send(Message{
-			Type:  MsgAppendReply,
-			To:    m.From,
-			Index: c.hardState.Commit,
-		})
-		return
-	}
-	c.log = memoryLog{
-		snapshotIndex: s.Index,
-		snapshotTerm:  s.Term,
-	}
-	c.out.Entries = nil
-	c.out.Committed = nil
-	c.out.Snapshot = s
-	c.applied = s.Index
-	c.persisted = s.Index
-	c.snapshotMembers = s.Members.Clone()
-	c.reloadMembers()
-	c.setCommit(s.Index)
-	c.send(Message{
-		Type:  MsgAppendReply,
-		To:    m.From,
-		Index: s.Index,
-	})
-}
-
 // stepAppendReply handles MsgAppendReply: it updates the peer's progress and
 // sends the next entries.
 func (c *Core) stepAppendReply(now time.Time, m Message) {
@@ -182,10 +147,15 @@
 	}
 	p.lastContact = now
 	p.retransmitAt = time.Time{}
+	c.countStaleReply(p, m)
 	if m.Reject {
 		p.probing = true
 		p.next = max(p.match+1, min(m.Hint+1, c.log.lastIndex()+1))
-		c.sendAppend(now, m.From, p, 0)
+		if p.next > c.log.snapshotIndex {
+			c.sendAppend(now, m.From, p, 0)
+		} else {
+			c.sendSnapshot(now, m.From, p)
+		}
 		return
 	}
 	p.readAck = max(p.readAck, m.Context)
@@ -197,7 +167,11 @@
 	}
 	p.next = max(p.next, p.match+1)
 	c.confirmReads()
-	if c.role == Leader && p.next <= c.log.lastIndex() {
+	switch {
+	case c.role != Leader || p.next > c.log.lastIndex():
+	case p.next <= c.log.snapshotIndex:
+		c.sendSnapshot(now, m.From, p)
+	default:
 		c.sendAppend(now, m.From, p, 0)
 	}
 }
@@ -211,22 +185,20 @@
 	}
 }
 
-// sendAppend sends a peer the next entries, an empty append while others are in
-// flight or the peer is probed, or a snapshot if the entries are compacted.
+// sendAppend sends a peer the next entries, or an empty append while others are in
+// flight or the peer is probed. If the entries are compacted, it sends a snapshot, and
+// heartbeats while that is in flight.
 func (c *Core) sendAppend(now time.Time, to uint64, p *peerProgress, context uint64) {
 	if p.next <= c.log.snapshotIndex {
-		if now.Before(p.snapshotRetryAt) {
-			return
-		}
-		p.snapshotRetryAt = now.Add(snapshotTimeoutHeartbeats * c.settings.HeartbeatInterval)
+		c.sendSnapshot(now, to, p)
+		term, _ := c.log.term(p.match) // unknown once compacted; a rejection is a sign of life, too
 		c.send(Message{
-			Type: MsgSnapshot,
-			To:   to,
-			Snapshot: &Snapshot{
-				Index:   c.log.snapshotIndex,
-				Term:    c.log.snapshotTerm,
-				Members: c.snapshotMembers.Clone(),
-			},
+			Type:    MsgAppend,
+			To:      to,
+			Index:   p.match,
+			LogTerm: term,
+			Commit:  min(c.hardState.Commit, p.match),
+			Context: context,
 		})
 		return
 	}
@@ -339,7 +311,13 @@
 		return
 	}
 	for _, m := range c.members.List {
-		if p := c.peers[m.ID]; p != nil && p.next <= c.log.lastIndex() && now.After(p.retransmitAt) && !p.probing {
+		p := c.peers[m.ID]
+		if p == nil || p.next > c.log.lastIndex() || p.probing {
+			continue
+		}
+		if p.next <= c.log.snapshotIndex {
+			c.sendSnapshot(now, m.ID, p)
+		} else if now.After(p.retransmitAt) {
 			c.sendAppend(now, m.ID, p, 0)
 		}
 	}
