--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -24,8 +24,15 @@
 	Seeds     int     `default:"1" help:"How many seeds to run."`
 	Minutes   float64 `default:"0.5" help:"How long faults come in each run."`
 	Processes int     `default:"7" help:"Controllers and gateways of each run."`
+	Network   int     `default:"0" help:"N of the first loopback network 127.N.0.0/16; 0 has the process choose."`
 	Jobs      int     `default:"1" help:"Runs at the same time."`
 	Logs      string  `default:"soak-logs" help:"Folder for the logs of seeds that fail."`
+
+	Diskless       int  `default:"0" help:"Controllers without a disk, beside those of --processes."`
+	PowerLoss      bool `help:"Draw losses of power of all hosts and replacements of hosts, too. Seeds then mean other faults."`
+	FinalPowerLoss bool `help:"End each run with a loss of power of all hosts, shortly after a change."`
+	KeepFirstStart bool `help:"Leave first_start in the settings after the first start."`
+	KeepLogs       bool `help:"Keep the logs of seeds that pass, too."`
 }
 
 // Sizes of a run.
@@ -56,7 +63,12 @@
 		Controllers:   smallRunControllers,
 		Upstreams:     upstreams,
 		Callers:       callers,
-		Network:       firstNetwork + (os.Getpid()+slot)%networks,
+		Network:       c.network(slot),
+
+		DisklessControllers: c.Diskless,
+		PowerLoss:           c.PowerLoss,
+		FinalPowerLoss:      c.FinalPowerLoss,
+		KeepFirstStart:      c.KeepFirstStart,
 	}
 	if c.Processes >= largeRunProcesses {
 		o.Controllers = largeRunControllers
@@ -66,6 +78,14 @@
 	return o
 }
 
+// network returns the second byte of the loopback addresses of the runs in a slot.
+func (c *commandLine) network(slot int) int {
+	if c.Network > 0 {
+		return c.Network + slot
+	}
+	return firstNetwork + (os.Getpid()+slot)%networks
+}
+
 // Run runs all seeds, at most Jobs at a time, and returns an error if any failed.
 func (c *commandLine) Run() error {
 	if c.Processes > maxProcesses {
@@ -113,7 +133,10 @@
 	if err != nil {
 		report.Violations = append(report.Violations, err.Error())
 	}
-	fmt.Printf("seed %d: %d attempts, %d retries, ended %v, faults %s\n", o.Seed, report.Attempts, report.Retries, report.Outcomes, report.Faults)
+	fmt.Printf("seed %d: %d attempts, %d retries, ended %v, faults %s, recovery %v\n", o.Seed, report.Attempts, report.Retries, report.Outcomes, report.Faults, report.Recovery)
+	if len(report.Violations) == 0 && c.KeepLogs {
+		return true
+	}
 	if len(report.Violations) == 0 {
 		if err := os.RemoveAll(o.WorkFolder); err != nil {
 			fmt.Println("logs not removed:", err)
@@ -123,10 +146,29 @@
 	for _, v := range report.Violations {
 		fmt.Println("  broken:", v)
 	}
-	fmt.Printf("  again: bin/soak --seed %d --minutes %g --processes %d   logs: %s\n", o.Seed, c.Minutes, c.Processes, o.WorkFolder)
+	fmt.Printf("  again: bin/soak --seed %d --minutes %g --processes %d%s   logs: %s\n", o.Seed, c.Minutes, c.Processes, c.powerFlags(), o.WorkFolder)
 	return false
 }
 
+// powerFlags returns the flags of the command line that determine what a seed means beside
+// the sizes.
+func (c *commandLine) powerFlags() string {
+	flags := ""
+	if c.Diskless > 0 {
+		flags += fmt.Sprintf(" --diskless %d", c.Diskless)
+	}
+	if c.PowerLoss {
+		flags += " --power-loss"
+	}
+	if c.FinalPowerLoss {
+		flags += " --final-power-loss"
+	}
+	if c.KeepFirstStart {
+		flags += " --keep-first-start"
+	}
+	return flags
+}
+
 func main() {
 	program.Run("soak", "Runs the fleet under random faults.", &commandLine{})
 }
--- a/bench/internal/soak/caller.go
+++ b/bench/internal/soak/caller.go
@@ -85,7 +85,7 @@
 // zero without one.
 func (c *caller) send(a *Attempt) time.Duration {
 	if c.conn == nil {
-		conn, err := net.DialTimeout("tcp", c.soak.fleet.gateways[c.gateway].listen, time.Second)
+		conn, err := net.DialTimeout("tcp", c.soak.fleet.gateways[c.gateway].listenAddress(), time.Second)
 		if err != nil {
 			return 50 * time.Millisecond // nothing was sent
 		}
--- a/bench/internal/soak/crashes_test.go
+++ b/bench/internal/soak/crashes_test.go
@@ -202,7 +202,7 @@
 	is := is.New(t)
 	segment := strconv.FormatUint(crashingSegment, 16)
 	call := func(method, path string) (int, string) {
-		request, err := http.NewRequest(method, "http://"+s.fleet.controllers[0].listen+path, nil)
+		request, err := http.NewRequest(method, "http://"+s.fleet.controllers[0].listenAddress()+path, nil)
 		is.NoErr(err)
 		response, err := http.DefaultClient.Do(request)
 		is.NoErr(err)
--- a/bench/internal/soak/faults.go
+++ b/bench/internal/soak/faults.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -22,9 +23,16 @@
 type faults struct {
 	soak *Soak
 
-	mu           sync.Mutex
-	counts       map[string]int
-	lastDataLoss time.Time
+	// calm is held for reading while a relay before a controller is disturbed, and for
+	// writing while no such fault may act.
+	calm sync.RWMutex
+
+	mu     sync.Mutex
+	counts map[string]int
+	// No data may be lost before calmUntil. Replaced is the number of replaced hosts.
+	calmUntil time.Time
+	replaced  int
+	recovery  map[string]time.Duration
 }
 
 // fault is one kind of fault. Its function injects the fault and returns after it is over.
@@ -54,6 +62,8 @@
 	{"tear a controller's log", func(f *faults, _ context.Context, random *rand.Rand) { f.damageData(random, appendTornRecord) }},
 	{"rewrite settings", func(f *faults, _ context.Context, random *rand.Rand) { f.rewriteSettings(random) }},
 	{"relay before a controller", func(f *faults, _ context.Context, random *rand.Rand) {
+		f.calm.RLock()
+		defer f.calm.RUnlock()
 		f.disturbRelay(f.soak.fleet.relays[random.IntN(len(f.soak.fleet.relays))], random)
 	}},
 	{"relay before an upstream", func(f *faults, _ context.Context, random *rand.Rand) {
@@ -79,12 +89,16 @@
 // run injects series of faults until the context ends. A series repeats one kind of fault
 // up to three times.
 func (f *faults) run(ctx context.Context) {
+	kinds := faultKinds
+	if f.soak.options.PowerLoss {
+		kinds = append(slices.Clone(faultKinds), powerFaultKinds...)
+	}
 	var group sync.WaitGroup
 	for series := range faultSeries {
 		group.Go(func() {
 			random := rand.New(rand.NewPCG(f.soak.options.Seed, uint64(series+1)))
 			for ctx.Err() == nil {
-				kind := faultKinds[random.IntN(len(faultKinds))]
+				kind := kinds[random.IntN(len(kinds))]
 				for range 1 + random.IntN(3) {
 					if ctx.Err() != nil {
 						return
@@ -162,20 +176,25 @@
 // damageData kills one controller, damages its data and starts it again, while no other
 // fault acts on a controller. It does nothing within replacementTime of the last loss.
 func (f *faults) damageData(random *rand.Rand, damage func(folder string, random *rand.Rand) error) {
+	if f.soak.options.PowerLoss {
+		f.calm.Lock()
+		defer f.calm.Unlock()
+	}
 	for _, p := range f.soak.fleet.controllers {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 	}
 	f.mu.Lock()
-	early := time.Since(f.lastDataLoss) < replacementTime
+	early := time.Now().Before(f.calmUntil)
 	if !early {
-		f.lastDataLoss = time.Now()
+		f.calmUntil = time.Now().Add(replacementTime)
 	}
 	f.mu.Unlock()
 	if early {
 		return
 	}
-	p := f.controller(random)
+	withDisk := f.soak.fleet.withDisk()
+	p := withDisk[random.IntN(len(withDisk))]
 	p.kill()
 	if err := damage(p.folder, random); err != nil {
 		f.soak.ledger.RecordViolation("start", "%s: %v", p.name, err)
@@ -183,6 +202,10 @@
 	f.startProcess(p)
 	// The group counts the replica as lost until it is back, and tolerates one loss: other
 	// faults of controllers wait.
+	if f.soak.options.PowerLoss {
+		f.awaitCatchUp(random)
+		return
+	}
 	time.Sleep(3 * time.Second)
 }
 
@@ -231,7 +254,7 @@
 	first := random.IntN(len(f.soak.fleet.controllers))
 	var seeds []string
 	for i := range 2 {
-		seeds = append(seeds, f.soak.fleet.controllers[(first+i)%len(f.soak.fleet.controllers)].listen)
+		seeds = append(seeds, f.soak.fleet.controllers[(first+i)%len(f.soak.fleet.controllers)].listenAddress())
 	}
 	p.settings["seeds"] = seeds
 	if err := p.writeSettings(); err != nil {
--- a/bench/internal/soak/fleet.go
+++ b/bench/internal/soak/fleet.go
@@ -38,9 +38,8 @@
 type process struct {
 	name     string
 	program  string
-	listen   string // address for callers or operators
 	settings map[string]any
-	folder   string // data folder; empty for gateways
+	folder   string // data folder; empty for gateways and controllers without a disk
 	bin      string
 	work     string
 
@@ -50,6 +49,16 @@
 	started    time.Time
 	stopping   bool // it was asked to stop, or killed
 	faultTimes intervals
+
+	listenMu sync.Mutex
+	listen   string // address for callers or operators
+}
+
+// listenAddress returns the address for callers or operators.
+func (p *process) listenAddress() string {
+	p.listenMu.Lock()
+	defer p.listenMu.Unlock()
+	return p.listen
 }
 
 // start writes the settings file and starts the program.
@@ -129,11 +138,23 @@
 	}
 }
 
-// fleet holds all processes and the relays before the controllers.
+// fleet holds all processes and the relays before the controllers. Controllers without a
+// disk come last.
 type fleet struct {
 	controllers []*process
 	gateways    []*process
 	relays      []*Relay
+	// gone are relays without power at the addresses of hosts that were replaced.
+	gone []*Relay
+}
+
+// withDisk returns the controllers with a disk.
+func (f *fleet) withDisk() []*process {
+	n := 0
+	for n < len(f.controllers) && f.controllers[n].folder != "" {
+		n++
+	}
+	return f.controllers[:n]
 }
 
 // address returns the loopback address of a host.
@@ -155,33 +176,10 @@
 	for i := range min(3, s.options.Controllers) {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", s.address(groupController, i+1), operatorPort))
 	}
-	for i := range s.options.Controllers {
-		host := s.address(groupController, i+1)
-		relayTarget := s.address(groupRelayed, i+1)
-		relay, err := NewRelay(fmt.Sprintf("%s:%d", host, peerPort), fmt.Sprintf("%s:%d", relayTarget, peerPort))
-		if err != nil {
-			return merry.Prepend(err, "relay")
-		}
-		s.fleet.relays = append(s.fleet.relays, relay)
-		name := fmt.Sprintf("controller-%d", i+1)
-		folder := filepath.Join(s.options.WorkFolder, name+".data")
-		if err := os.MkdirAll(folder, 0o700); err != nil {
-			return merry.Prepend(err, "data folder")
+	for i := range s.options.Controllers + s.options.DisklessControllers {
+		if err := s.addController(i, seeds); err != nil {
+			return err
 		}
-		s.fleet.controllers = append(s.fleet.controllers, s.newProcess(name, "controller", fmt.Sprintf("%s:%d", host, operatorPort), folder, map[string]any{
-			"name":            name,
-			"zone":            "zone-a",
-			"address":         host,
-			"listen_address":  relayTarget,
-			"port":            peerPort,
-			"operator_listen": fmt.Sprintf("%s:%d", host, operatorPort),
-			"data_folder":     folder,
-			"seeds":           seeds,
-			"first_start":     true,
-			"tolerated_hosts": 1,
-			"list_address":    fmt.Sprintf("%s:%d", s.address(groupPlatform, 1), listPort),
-			"credential":      map[string]any{"private_network": true},
-		}))
 	}
 	for i := range s.options.Gateways {
 		host := s.address(groupGateway, i+1)
@@ -207,8 +205,44 @@
 		}
 	}
 	for _, p := range s.fleet.controllers {
-		p.settings["first_start"] = false
+		p.settings["first_start"] = s.options.KeepFirstStart
+	}
+	return nil
+}
+
+// addController adds the controller with an index, which is not started yet, and the relay
+// before it.
+func (s *Soak) addController(i int, seeds []string) error {
+	host := s.address(groupController, i+1)
+	relayTarget := s.address(groupRelayed, i+1)
+	relay, err := NewRelay(fmt.Sprintf("%s:%d", host, peerPort), fmt.Sprintf("%s:%d", relayTarget, peerPort))
+	if err != nil {
+		return merry.Prepend(err, "relay")
+	}
+	s.fleet.relays = append(s.fleet.relays, relay)
+	name := fmt.Sprintf("controller-%d", i+1)
+	settings := map[string]any{
+		"name":            name,
+		"zone":            "zone-a",
+		"address":         host,
+		"listen_address":  relayTarget,
+		"port":            peerPort,
+		"operator_listen": fmt.Sprintf("%s:%d", host, operatorPort),
+		"seeds":           seeds,
+		"first_start":     true,
+		"tolerated_hosts": 1,
+		"list_address":    fmt.Sprintf("%s:%d", s.address(groupPlatform, 1), listPort),
+		"credential":      map[string]any{"private_network": true},
+	}
+	folder := ""
+	if i < s.options.Controllers {
+		folder = filepath.Join(s.options.WorkFolder, name+".data")
+		settings["data_folder"] = folder
+		if err := os.MkdirAll(folder, 0o700); err != nil {
+			return merry.Prepend(err, "data folder")
+		}
 	}
+	s.fleet.controllers = append(s.fleet.controllers, s.newProcess(name, "controller", fmt.Sprintf("%s:%d", host, operatorPort), folder, settings))
 	return nil
 }
 
@@ -237,7 +271,7 @@
 			p.kill()
 		}
 	}
-	for _, r := range s.fleet.relays {
+	for _, r := range append(s.fleet.relays, s.fleet.gone...) {
 		r.Close()
 	}
 	if s.listListener != nil {
--- a/bench/internal/soak/ledger.go
+++ b/bench/internal/soak/ledger.go
@@ -15,6 +15,7 @@
 	Look  Kind = "look"  // idempotent
 	Draft Kind = "draft" // a stream that must run at most once
 	Chat  Kind = "chat"  // a stream that another upstream may resume
+	Added Kind = "added" // must run at most once; its route is the last change of a run
 )
 
 // idempotent reports whether a request may run more than once.
@@ -71,7 +72,8 @@
 //   - budget: there were more retries than the fleet's retry budget allows.
 //   - configuration: a valid change was refused, or a controller returned an older version
 //     than one that was acknowledged before.
-//   - recovery: a gateway did not serve in time after the last fault.
+//   - recovery: a gateway did not serve, or a controller did not answer, in time after a
+//     fault.
 //   - start: a process exited by itself, or could not be set up or started.
 type Ledger struct {
 	mu          sync.Mutex
--- a/bench/internal/soak/operator.go
+++ b/bench/internal/soak/operator.go
@@ -25,6 +25,7 @@
 	keys          []string
 	revoked       []string
 	lastKeyNumber int
+	addRoute      bool // configurations have a route for Added
 }
 
 // permanentKeys are the teams' keys that are never revoked.
@@ -55,7 +56,11 @@
 // held.
 func (o *operator) document() []byte {
 	routes := []map[string]any{}
-	for _, kind := range []Kind{Book, Look, Chat, Draft} {
+	kinds := []Kind{Book, Look, Chat, Draft}
+	if o.addRoute {
+		kinds = append(kinds, Added)
+	}
+	for _, kind := range kinds {
 		route := map[string]any{
 			"name":                 string(kind),
 			"host":                 "soak.example",
@@ -132,7 +137,7 @@
 		return
 	}
 	o.mu.Lock()
-	o.acknowledged = version
+	o.acknowledged = max(o.acknowledged, version)
 	if removed != "" {
 		o.revoked = append(o.revoked, removed)
 		o.soak.ledger.RecordRevocation(removed, time.Now().Add(revokeTime))
@@ -143,12 +148,18 @@
 // checkConfiguration reads the configuration from one controller. It must not be older than
 // the newest version that was acknowledged before the read.
 func (o *operator) checkConfiguration(ctx context.Context, target *process) {
+	o.readConfiguration(ctx, target)
+}
+
+// readConfiguration is checkConfiguration that reports whether the controller answered with
+// status 200, and why not.
+func (o *operator) readConfiguration(ctx context.Context, target *process) (ok bool, cause string) {
 	o.mu.Lock()
 	acknowledged := o.acknowledged
 	o.mu.Unlock()
 	status, body := o.call(ctx, http.MethodGet, target, nil)
 	if status != http.StatusOK {
-		return // a controller may refuse to answer
+		return false, fmt.Sprintf("status %d: %s", status, body) // a controller may refuse to answer
 	}
 	var got struct {
 		Version uint64 `json:"version"`
@@ -156,12 +167,19 @@
 	if err := json.Unmarshal(body, &got); err != nil || got.Version < acknowledged {
 		o.soak.ledger.RecordViolation("configuration", "%s has version %d after %d was acknowledged (%v)", target.name, got.Version, acknowledged, err)
 	}
+	o.mu.Lock()
+	sent := o.version
+	o.mu.Unlock()
+	if got.Version > sent {
+		o.soak.ledger.RecordViolation("configuration", "%s has version %d, the newest that was sent is %d", target.name, got.Version, sent)
+	}
+	return true, ""
 }
 
 // call sends a request for the configuration to a controller and returns the status and
 // the body; the status is zero without an answer.
 func (o *operator) call(ctx context.Context, method string, target *process, body []byte) (int, []byte) {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+target.listen+"/v1/configuration", bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+target.listenAddress()+"/v1/configuration", bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
--- a/bench/internal/soak/relay.go
+++ b/bench/internal/soak/relay.go
@@ -16,6 +16,7 @@
 	connections map[*connection]bool
 	delay       time.Duration
 	silent      bool // new connections are silent
+	down        bool // the host is without power: connections are silent and dialed in vain
 	oneWay      bool // nothing is forwarded to clients
 	faultTimes  intervals
 }
@@ -67,6 +68,37 @@
 	return nil
 }
 
+// PowerOff makes the relay behave as a host without power: connections stay open and forward
+// nothing, and new ones are not answered.
+func (r *Relay) PowerOff() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down = true
+	for c := range r.connections {
+		c.silent = true
+	}
+}
+
+// PowerOn ends PowerOff and resets the connections of before.
+func (r *Relay) PowerOn() {
+	r.mu.Lock()
+	r.down = false
+	r.mu.Unlock()
+	r.forEach(func(c *connection) {
+		reset(c.client)
+		c.close()
+	})
+}
+
+// Move has the relay listen on another address and closes its connections.
+func (r *Relay) Move(address string) error {
+	r.Close()
+	r.mu.Lock()
+	r.address = address
+	r.mu.Unlock()
+	return r.Reopen()
+}
+
 func (r *Relay) accept(l net.Listener) {
 	for {
 		client, err := l.Accept()
@@ -80,18 +112,25 @@
 // open connects a client to the target and forwards both directions until one ends. The
 // client sees a reset if the target refuses the connection.
 func (r *Relay) open(client net.Conn) {
+	c := &connection{
+		relay:  r,
+		client: client,
+	}
+	r.mu.Lock()
+	if r.down {
+		r.connections[c] = true
+		r.mu.Unlock()
+		return
+	}
+	r.mu.Unlock()
 	server, err := net.Dial("tcp", r.target)
 	if err != nil {
 		reset(client)
 		return
 	}
-	c := &connection{
-		relay:  r,
-		client: client,
-		server: server,
-	}
+	c.server = server
 	r.mu.Lock()
-	c.silent = r.silent
+	c.silent = r.silent || r.down
 	r.connections[c] = true
 	r.mu.Unlock()
 	go c.forward(client, server, false)
@@ -138,7 +177,9 @@
 	delete(c.relay.connections, c)
 	c.relay.mu.Unlock()
 	c.client.Close()
-	c.server.Close()
+	if c.server != nil {
+		c.server.Close()
+	}
 }
 
 // reset closes a connection with a TCP reset.
@@ -183,7 +224,9 @@
 	if kind == "reset" {
 		r.forEach(func(c *connection) {
 			reset(c.client)
-			reset(c.server)
+			if c.server != nil {
+				reset(c.server)
+			}
 			c.close()
 		})
 		return
--- a/bench/internal/soak/soak.go
+++ b/bench/internal/soak/soak.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,15 @@
 	// number of callers at each gateway.
 	Upstreams int
 	Callers   int
+	// DisklessControllers is the number of controllers without a disk, beside Controllers.
+	DisklessControllers int
+	// PowerLoss adds the faults of powerFaultKinds to those of faultKinds, which gives
+	// seeds another meaning.
+	PowerLoss bool
+	// FinalPowerLoss ends the run with a loss of power of all hosts, shortly after a change.
+	FinalPowerLoss bool
+	// KeepFirstStart leaves first_start in the settings after the first start.
+	KeepFirstStart bool
 	// Network is the second byte of the loopback addresses. Runs at the same time need
 	// different ones.
 	Network int
@@ -67,6 +77,9 @@
 	Attempts   int
 	Retries    int    // executions beyond the first of each attempt
 	Faults     string // number of faults of each kind
+	// Recovery holds the longest times from the return of all hosts after a loss of power
+	// until all of them had answered.
+	Recovery map[string]time.Duration
 }
 
 // Run starts a fleet, loads it under random faults and returns what the checks found. An
@@ -92,6 +105,7 @@
 		Attempts:   attempts,
 		Retries:    retries,
 		Faults:     s.faults.String(),
+		Recovery:   s.faults.recovery,
 	}, nil
 }
 
@@ -117,8 +131,9 @@
 	}
 	s.operator = newOperator(s)
 	s.faults = &faults{
-		soak:   s,
-		counts: make(map[string]int),
+		soak:     s,
+		counts:   make(map[string]int),
+		recovery: make(map[string]time.Duration),
 	}
 	return s, nil
 }
@@ -155,7 +170,7 @@
 	defer cancel()
 	random := rand.New(rand.NewPCG(s.options.Seed, 0))
 	s.operator.changeConfiguration(starting, random)
-	if missing := s.awaitServing(starting); missing != "" {
+	if missing := s.awaitServing(starting, servedKinds); missing != "" {
 		return merry.Errorf("not served within %s of the start: %s", startTimeout, missing)
 	}
 	return nil
@@ -185,17 +200,24 @@
 			group.Go(func() { c.run(calling) })
 		}
 	}
-	group.Go(func() { s.operator.run(calling, rand.New(rand.NewPCG(s.options.Seed, 999))) })
+	operating, stopOperator := context.WithCancel(calling)
+	var operatorGroup sync.WaitGroup
+	operatorGroup.Go(func() { s.operator.run(operating, rand.New(rand.NewPCG(s.options.Seed, 999))) })
 	group.Go(func() { s.watch(calling) })
 	injecting, stopInjecting := context.WithTimeout(ctx, s.options.FaultDuration)
 	s.faults.run(injecting)
 	stopInjecting()
 	s.logFault("the last fault is over")
 	recovering, cancel := context.WithTimeout(ctx, recoveryTimeout)
-	if missing := s.awaitServing(recovering); missing != "" && ctx.Err() == nil {
+	if missing := s.awaitServing(recovering, servedKinds); missing != "" && ctx.Err() == nil {
 		s.ledger.RecordViolation("recovery", "not served within %s of the last fault: %s", recoveryTimeout, missing)
 	}
 	cancel()
+	stopOperator()
+	operatorGroup.Wait()
+	if s.options.FinalPowerLoss {
+		s.endWithPowerLoss(ctx)
+	}
 	stopCalling()
 	group.Wait()
 	time.Sleep(lateExecutionTime)
@@ -232,33 +254,48 @@
 	}
 }
 
-// awaitServing waits until each gateway serves each kind of request. It returns the
-// first missing kind and gateway when the context ends, or "" if none is missing.
-func (s *Soak) awaitServing(ctx context.Context) string {
-	random := rand.New(rand.NewPCG(s.options.Seed, 1))
+// awaitStream is the first stream of random numbers of the callers in awaitServing.
+const awaitStream = 500
+
+// servedKinds are the kinds that gateways serve throughout a run.
+var servedKinds = []Kind{Book, Look, Chat, Draft}
+
+// awaitServing waits until each gateway serves each of the kinds of requests. It returns a
+// missing kind and gateway when the context ends, or "" if none is missing.
+func (s *Soak) awaitServing(ctx context.Context, kinds []Kind) string {
+	missing := make([]string, len(s.fleet.gateways))
+	var group sync.WaitGroup
 	for g := range s.fleet.gateways {
-		for _, kind := range []Kind{Book, Look, Chat, Draft} {
-			c := &caller{
-				soak:    s,
-				gateway: g,
-				random:  random,
+		group.Go(func() { missing[g] = s.awaitGateway(ctx, g, kinds) })
+	}
+	group.Wait()
+	slices.Sort(missing)
+	return missing[len(missing)-1]
+}
+
+// awaitGateway is awaitServing for one gateway.
+func (s *Soak) awaitGateway(ctx context.Context, gateway int, kinds []Kind) string {
+	c := &caller{
+		soak:    s,
+		gateway: gateway,
+		random:  rand.New(rand.NewPCG(s.options.Seed, uint64(awaitStream+gateway))),
+	}
+	defer c.disconnect()
+	for _, kind := range kinds {
+		for {
+			a := c.newAttempt()
+			a.Kind = kind
+			a.Key = permanentKeys[0]
+			c.send(a)
+			if a.Status == http.StatusOK && a.Complete {
+				break
 			}
-			for {
-				a := c.newAttempt()
-				a.Kind = kind
-				a.Key = permanentKeys[0]
-				c.send(a)
-				if a.Status == http.StatusOK && a.Complete {
-					break
-				}
-				if ctx.Err() != nil {
-					c.disconnect()
-					return fmt.Sprintf("%s at gateway %d", kind, g+1)
-				}
-				time.Sleep(50 * time.Millisecond)
+			if ctx.Err() != nil {
+				return fmt.Sprintf("%s at gateway %d, the last answer was %d %s %s", kind, gateway+1, a.Status, a.Body, a.Err)
 			}
-			c.disconnect()
+			time.Sleep(50 * time.Millisecond)
 		}
+		c.disconnect()
 	}
 	return ""
 }
