--- a/bench/e2e/soak_test.go
+++ b/bench/e2e/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"path/filepath"
 	"testing"
 	"time"
@@ -54,3 +55,41 @@
 		})
 	}
 }
+
+// powerLossNetwork is the second byte of the loopback addresses of TestSoakLosesPower, the
+// first of one for each seed.
+const powerLossNetwork = 20
+
+// powerLossSeeds are the seeds of TestSoakLosesPower. None has failed.
+var powerLossSeeds = []uint64{1, 2}
+
+// TestSoakLosesPower runs each seed for six seconds under random faults, losses of power of all
+// hosts among them, and ends it with one shortly after a change. Some controllers have no disk.
+func TestSoakLosesPower(t *testing.T) {
+	for i, seed := range powerLossSeeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			report, err := soak.Run(context.Background(), soak.Options{
+				Bin:                 binaries,
+				WorkFolder:          filepath.Join(t.TempDir(), "soak"),
+				Seed:                seed,
+				FaultDuration:       6 * time.Second,
+				Controllers:         3,
+				DisklessControllers: 2,
+				Gateways:            3,
+				Upstreams:           3,
+				Callers:             2,
+				Network:             powerLossNetwork + i,
+				PowerLoss:           true,
+				FinalPowerLoss:      true,
+			})
+			is.NoErr(err)
+			for _, v := range report.Violations {
+				t.Error(v)
+			}
+			is.True(report.Outcomes["200"] > 0)
+			t.Logf("seed %d: %d attempts, ended %v, faults %s, recovery %v", seed, report.Attempts, report.Outcomes, report.Faults, report.Recovery)
+		})
+	}
+}
--- a/bench/internal/soak/ending.go
+++ b/bench/internal/soak/ending.go
@@ -9,7 +9,8 @@
 
 // endWithPowerLoss has all hosts lose power shortly after a change that adds a route, while
 // callers go on. All gateways must serve again, every controller must return what was
-// acknowledged, and another change must be accepted.
+// acknowledged, and another change must be accepted. A host that does not come back is left
+// out.
 func (s *Soak) endWithPowerLoss(ctx context.Context) {
 	f := s.faults
 	defer f.lockHosts()()
@@ -23,7 +24,7 @@
 	before := s.operator.version
 	s.operator.mu.Unlock()
 	s.logFault("the run ends with a loss of power")
-	f.losePower(ctx, random)
+	gone := f.losePower(ctx, random)
 	back := time.Now()
 	s.operator.mu.Lock()
 	acknowledged := s.operator.acknowledged > before
@@ -37,13 +38,13 @@
 	group.Go(func() {
 		serving, cancel := context.WithDeadline(ctx, back.Add(servingTimeout))
 		defer cancel()
-		if missing := s.awaitServing(serving, kinds); missing != "" && ctx.Err() == nil {
+		if missing := s.awaitServing(serving, kinds, gone); missing != "" && ctx.Err() == nil {
 			s.ledger.RecordViolation("recovery", "not served within %s of the last loss of power: %s", servingTimeout, missing)
 			return
 		}
 		f.recordRecovery("serving", time.Since(back))
 	})
-	group.Go(func() { f.awaitReads(ctx, back) })
+	group.Go(func() { f.awaitReads(ctx, back, gone) })
 	group.Wait()
 	changing, cancel := context.WithTimeout(ctx, readingTimeout)
 	defer cancel()
@@ -52,5 +53,5 @@
 		s.ledger.RecordViolation("recovery", "no change was accepted within %s after the last loss of power", readingTimeout)
 		return
 	}
-	f.awaitReads(ctx, time.Now())
+	f.awaitReads(ctx, time.Now(), gone)
 }
--- a/bench/internal/soak/faults.go
+++ b/bench/internal/soak/faults.go
@@ -29,10 +29,12 @@
 
 	mu     sync.Mutex
 	counts map[string]int
-	// No data may be lost before calmUntil. Replaced is the number of replaced hosts.
+	// No data may be lost before calmUntil. Moved is the number of changed addresses.
 	calmUntil time.Time
-	replaced  int
+	moved     int
 	recovery  map[string]time.Duration
+	// gatewayEnds end the fault of each gateway after killAll.
+	gatewayEnds []func()
 }
 
 // fault is one kind of fault. Its function injects the fault and returns after it is over.
--- a/bench/internal/soak/lostdisk.go
+++ b/bench/internal/soak/lostdisk.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 
 	"baobabpaddle/fleet/disk"
 	"baobabpaddle/fleet/raft"
@@ -15,7 +16,7 @@
 	vote     uint64
 	lastTerm uint64
 	last     uint64
-	members  string
+	members  string // the newest ones in the log
 }
 
 // readReplica reads the data folder of a controller that does not run.
@@ -47,53 +48,79 @@
 	return r.lastTerm < other.lastTerm || (r.lastTerm == other.lastTerm && r.last < other.last)
 }
 
-// loseDisk empties the folder of one controller: that of the leader, of a follower, of the
-// newest or of the oldest log, or none. No controller may run. It returns the controller's
-// index, or -1 for none.
-func (f *faults) loseDisk(random *rand.Rand) int {
+// outage is what one loss of power of all hosts does to controllers with a disk, by index; -1
+// stands for none. The folder of victim is emptied, and gone does not come back.
+type outage struct {
+	victim int
+	gone   int
+}
+
+// drawOutage draws the outage and empties the folder of its victim: that of the leader, of a
+// follower, or of the newest or the oldest log. No controller may run.
+func (f *faults) drawOutage(random *rand.Rand) outage {
+	none := outage{
+		victim: -1,
+		gone:   -1,
+	}
 	withDisk := f.soak.fleet.withDisk()
-	replicas := make([]replicaOnDisk, len(withDisk))
-	newest, oldest := 0, 0
-	var voted replicaOnDisk
-	for i, p := range withDisk {
-		r, err := readReplica(p.folder)
-		f.soak.logFault("%s has replica %d, last entry %d of term %d, term %d, vote %d, members %s (%v)", p.name, r.id, r.last, r.lastTerm, r.term, r.vote, r.members, err)
-		replicas[i] = r
+	replicas := f.readReplicas()
+	if !f.mayLoseData() {
+		f.soak.logFault("no disk is lost, since an earlier loss is not made good")
+		return none
+	}
+	newest, oldest := random.IntN(len(withDisk)), random.IntN(len(withDisk))
+	for i, r := range replicas {
 		if replicas[newest].behind(r) {
 			newest = i
 		}
 		if r.behind(replicas[oldest]) {
 			oldest = i
 		}
-		if r.vote != 0 && r.term >= voted.term {
-			voted = r
-		}
-	}
-	leader := random.IntN(len(withDisk)) // replaced below if the leader is known
-	for i, r := range replicas {
-		if r.id != 0 && r.id == voted.vote {
-			leader = i
-		}
 	}
-	choices := []struct {
-		name   string
-		victim int
-	}{
-		{"the leader's", leader},
-		{"a follower's", (leader + 1 + random.IntN(len(withDisk)-1)) % len(withDisk)},
-		{"the newest", newest},
-		{"the oldest", oldest},
-		{"none", -1},
+	leader := leaderOf(replicas)
+	if leader < 0 {
+		leader = random.IntN(len(withDisk))
 	}
-	choice := choices[random.IntN(len(choices))]
-	if choice.victim < 0 {
+	follower := (leader + 1 + random.IntN(len(withDisk)-1)) % len(withDisk)
+	drawn := random.IntN(6)
+	if drawn == 5 {
 		f.soak.logFault("no disk is lost")
-		return -1
+		return none
 	}
-	p := withDisk[choice.victim]
-	f.soak.logFault("the disk of %s is lost: %s", p.name, choice.name)
+	victim := []int{leader, leader, follower, newest, oldest}[drawn]
+	p := withDisk[victim]
+	if random.IntN(6) == 0 {
+		f.soak.logFault("%s does not come back", p.name)
+		none.gone = victim
+		return none
+	}
+	f.soak.logFault("the disk of %s is lost: %s", p.name, []string{"leader", "leader", "follower", "newest log", "oldest log"}[drawn])
 	if err := wipeFolder(p.folder, random); err != nil {
 		f.soak.ledger.RecordViolation("start", "%s: %v", p.name, err)
 	}
-	return choice.victim
+	none.victim = victim
+	return none
+}
+
+// readReplicas returns and logs what the folders of the controllers with a disk hold.
+func (f *faults) readReplicas() []replicaOnDisk {
+	var out []replicaOnDisk
+	for _, p := range f.soak.fleet.withDisk() {
+		r, err := readReplica(p.folder)
+		f.soak.logFault("%s has replica %d, last entry %d of term %d, term %d, vote %d, members %s (%v)",
+			p.name, r.id, r.last, r.lastTerm, r.term, r.vote, r.members, err)
+		out = append(out, r)
+	}
+	return out
+}
+
+// leaderOf returns the index of the replica that got the last vote, or -1 if there is none.
+func leaderOf(replicas []replicaOnDisk) int {
+	var voted replicaOnDisk
+	for _, r := range replicas {
+		if r.vote != 0 && r.term >= voted.term {
+			voted = r
+		}
+	}
+	return slices.IndexFunc(replicas, func(r replicaOnDisk) bool { return r.id != 0 && r.id == voted.vote })
 }
--- a/bench/internal/soak/powerloss.go
+++ b/bench/internal/soak/powerloss.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -34,13 +33,23 @@
 
 // powerFaultKinds follow faultKinds in runs with the option PowerLoss. They are drawn by index.
 var powerFaultKinds = []fault{
-	{"power loss of all hosts", func(f *faults, ctx context.Context, random *rand.Rand) { f.losePowerRepeatedly(ctx, random) }},
-	{"replace a controller", func(f *faults, _ context.Context, random *rand.Rand) {
-		defer f.lockHosts()()
-		if f.replaceController(random) {
+	{
+		name:   "power loss of all hosts",
+		inject: func(f *faults, ctx context.Context, random *rand.Rand) { f.losePowerRepeatedly(ctx, random) },
+	},
+	{
+		name: "replace a controller",
+		inject: func(f *faults, _ context.Context, random *rand.Rand) {
+			defer f.lockHosts()()
+			i := random.IntN(len(f.soak.fleet.withDisk()))
+			if !f.mayLoseData() {
+				return
+			}
+			f.soak.fleet.controllers[i].kill()
+			f.replaceController(i, random)
 			f.awaitCatchUp(random)
-		}
-	}},
+		},
+	},
 }
 
 // lockHosts keeps all other faults from acting on controllers and gateways until the returned
@@ -74,48 +83,32 @@
 	f.calmUntil = time.Now()
 }
 
-// replaceController ends a controller with a disk for good and starts an empty one at a new
-// address, unless an earlier loss of data is not made good yet. The hosts must be locked.
-func (f *faults) replaceController(random *rand.Rand) bool {
-	if !f.mayLoseData() {
-		return false
-	}
-	withDisk := f.soak.fleet.withDisk()
-	i := random.IntN(len(withDisk))
-	p := withDisk[i]
-	p.kill()
+// replaceController starts an empty controller at a new address in place of one that was lost
+// for good. The hosts must be locked.
+func (f *faults) replaceController(i int, random *rand.Rand) {
+	p := f.soak.fleet.controllers[i]
 	f.soak.logFault("%s is lost for good", p.name)
 	if err := f.moveController(i, random); err != nil {
 		f.soak.ledger.RecordViolation("start", "%s: %v", p.name, err)
-		return false
+		return
 	}
 	f.drawSeeds(random, true)
 	time.Sleep(replacementDelay)
 	f.startProcess(p)
 	f.soak.logFault("%s is replaced at %s", p.name, p.listenAddress())
-	return true
 }
 
 // moveController gives a controller that does not run an empty folder and a new address. Dials
 // of the old address are refused or, in half the cases, not answered.
 func (f *faults) moveController(i int, random *rand.Rand) error {
-	const firstReplacement = 100
-	p, relay := f.soak.fleet.controllers[i], f.soak.fleet.relays[i]
-	if err := wipeFolder(p.folder, random); err != nil {
+	if err := wipeFolder(f.soak.fleet.controllers[i].folder, random); err != nil {
 		return err
 	}
+	relay := f.soak.fleet.relays[i]
 	old := relay.Address()
-	f.replaced++
-	host := f.soak.address(groupController, firstReplacement+f.replaced)
-	if err := relay.Move(fmt.Sprintf("%s:%d", host, peerPort)); err != nil {
+	if err := f.changeAddress(i); err != nil {
 		return err
 	}
-	operator := fmt.Sprintf("%s:%d", host, operatorPort)
-	p.settings["address"] = host
-	p.settings["operator_listen"] = operator
-	p.listenMu.Lock()
-	p.listen = operator
-	p.listenMu.Unlock()
 	if random.IntN(2) == 0 {
 		return nil
 	}
@@ -128,6 +121,24 @@
 	return nil
 }
 
+// changeAddress gives a controller that does not run a new address.
+func (f *faults) changeAddress(i int) error {
+	const firstNewHost = 101
+	host := f.soak.address(groupController, firstNewHost+f.moved)
+	f.moved++
+	if err := f.soak.fleet.relays[i].Move(fmt.Sprintf("%s:%d", host, peerPort)); err != nil {
+		return err
+	}
+	operator := fmt.Sprintf("%s:%d", host, operatorPort)
+	p := f.soak.fleet.controllers[i]
+	p.settings["address"] = host
+	p.settings["operator_listen"] = operator
+	p.listenMu.Lock()
+	defer p.listenMu.Unlock()
+	p.listen = operator
+	return nil
+}
+
 // drawSeeds gives all processes the same seeds, up to three present controllers. If signal is
 // true, the processes that run read them.
 func (f *faults) drawSeeds(random *rand.Rand, signal bool) {
@@ -154,16 +165,24 @@
 	defer f.lockHosts()()
 	losses := 1 + random.IntN(3)/2
 	for n := range losses {
-		if random.IntN(4) == 0 && f.replaceController(random) {
+		replaced := random.IntN(len(f.soak.fleet.withDisk()))
+		if random.IntN(4) == 0 && f.mayLoseData() {
+			f.soak.fleet.controllers[replaced].kill()
+			f.replaceController(replaced, random)
 			f.mu.Lock()
 			f.calmUntil = time.Now().Add(catchUpTime)
 			f.mu.Unlock()
 			time.Sleep(randomDuration(random, catchUpTime))
 		}
-		f.losePower(ctx, random)
+		gone := f.losePower(ctx, random)
 		back := time.Now()
-		if n == losses-1 {
-			f.awaitReads(ctx, back)
+		if n == losses-1 || gone >= 0 {
+			f.awaitReads(ctx, back, gone)
+		}
+		if gone >= 0 {
+			f.replaceController(gone, random)
+			f.startGateway(gone)
+			back = time.Now()
 		}
 		time.Sleep(time.Until(back.Add(catchUpTime + randomDuration(random, maxExtraCalm))))
 		f.mu.Lock()
@@ -172,47 +191,23 @@
 	}
 }
 
-// losePower sends a change, kills all processes at once shortly afterwards, empties the folder
-// of at most one controller and starts the processes again. It returns when all have been
-// started. The hosts must be locked.
-func (f *faults) losePower(ctx context.Context, random *rand.Rand) {
-	fleet := &f.soak.fleet
-	retry := random.IntN(2) == 0
-	afterAnswer := random.IntN(3) == 0
-	age := minChangeAge + randomDuration(random, maxChangeAge-minChangeAge)
-	changing, giveUp := context.WithTimeout(ctx, readingTimeout)
-	answered := make(chan struct{})
-	changes := rand.New(rand.NewPCG(random.Uint64(), 1))
-	go func() {
-		f.soak.operator.changeConfiguration(changing, changes)
-		close(answered)
-		giveUp()
-	}()
-	timer := time.After(age)
-	if afterAnswer {
-		timer = time.After(servingTimeout)
-	}
-	select {
-	case <-timer:
-	case <-answered:
-		if !afterAnswer {
-			<-timer
-		}
-	}
+// losePower sends a change, kills all processes at once shortly afterwards, damages the folders
+// of controllers and starts the processes again. It returns when all have been started but those
+// of a host that does not come back, whose index it returns, or -1. The hosts must be locked.
+func (f *faults) losePower(ctx context.Context, random *rand.Rand) (gone int) {
+	changing, giveUp := context.WithCancel(ctx)
+	f.sendChange(changing, random)
 	silent := random.IntN(2) == 0
-	ends := f.killAll(silent)
-	if !retry {
-		giveUp()
-	}
-	f.soak.logFault("all hosts are without power; connections hang %t", silent)
-	victim := -1
-	if f.mayLoseData() {
-		victim = f.loseDisk(random)
+	f.killAll(silent)
+	f.soak.logFault("all hosts are without power; connections hang: %t", silent)
+	if random.IntN(2) == 0 {
+		giveUp() // the change is not sent again
 	} else {
-		f.soak.logFault("no disk is lost, since an earlier loss is not made good")
+		time.AfterFunc(readingTimeout, giveUp)
 	}
-	for i, p := range fleet.withDisk() {
-		if i != victim && random.IntN(2) == 0 {
+	drawn := f.drawOutage(random)
+	for i, p := range f.soak.fleet.withDisk() {
+		if i != drawn.victim && random.IntN(2) == 0 {
 			// The log is absent if the controller had just been emptied.
 			_ = appendTornRecord(p.folder, random)
 		}
@@ -220,20 +215,42 @@
 	if random.IntN(4) == 0 {
 		f.drawSeeds(random, false)
 	}
-	f.startHosts(random, victim, ends)
+	f.startHosts(random, drawn)
+	return drawn.gone
+}
+
+// sendChange sends a change until the context ends. It returns a short time after the change
+// was sent or right after the acknowledgement.
+func (f *faults) sendChange(ctx context.Context, random *rand.Rand) {
+	age := time.After(minChangeAge + randomDuration(random, maxChangeAge-minChangeAge))
+	afterAnswer := random.IntN(3) == 0
+	answered := make(chan struct{})
+	changes := rand.New(rand.NewPCG(random.Uint64(), 1))
+	go func() {
+		f.soak.operator.changeConfiguration(ctx, changes)
+		close(answered)
+	}()
+	if !afterAnswer {
+		<-age
+		return
+	}
+	select {
+	case <-answered:
+	case <-time.After(servingTimeout):
+	}
 }
 
 // killAll kills all processes at the same moment. If silent is true, the connections to
-// controllers hang until PowerOn. It returns the functions that end the fault for each gateway.
-func (f *faults) killAll(silent bool) []func() {
+// controllers hang until PowerOn.
+func (f *faults) killAll(silent bool) {
 	if silent {
 		for _, r := range f.soak.fleet.relays {
 			r.PowerOff()
 		}
 	}
-	var ends []func()
+	f.gatewayEnds = nil
 	for _, p := range f.soak.fleet.gateways {
-		ends = append(ends, p.faultTimes.begin())
+		f.gatewayEnds = append(f.gatewayEnds, p.faultTimes.begin())
 	}
 	for _, p := range f.soak.processes() {
 		p.stopping = true
@@ -242,57 +259,65 @@
 	for _, p := range f.soak.processes() {
 		<-p.done
 	}
-	return ends
 }
 
-// startHosts starts the processes of all hosts in random order; that of the victim, unless it
-// is -1, comes first or last in some cases. A host has a controller and the gateway of the same
-// index.
-func (f *faults) startHosts(random *rand.Rand, victim int, ends []func()) {
+// startGateway starts the gateway of a host after killAll, if the host has one.
+func (f *faults) startGateway(host int) {
+	if host < len(f.soak.fleet.gateways) {
+		f.startProcess(f.soak.fleet.gateways[host])
+		f.gatewayEnds[host]()
+	}
+}
+
+// startHosts starts the processes of all hosts in random order; that of the victim comes first
+// or last in some cases. A host has a controller and the gateway of the same index.
+func (f *faults) startHosts(random *rand.Rand, drawn outage) {
 	fleet := &f.soak.fleet
-	hosts := max(len(fleet.controllers), len(fleet.gateways))
 	spread := randomDuration(random, shortSpread) + 1
 	if random.IntN(5) == 0 {
 		spread = randomDuration(random, longSpread) + 1
 	}
-	delays := make([]time.Duration, hosts)
+	delays := make([]time.Duration, max(len(fleet.controllers), len(fleet.gateways)))
 	for i := range delays {
 		delays[i] = minDown + randomDuration(random, spread)
 	}
-	if victim >= 0 {
+	if drawn.victim >= 0 {
 		switch random.IntN(4) {
 		case 0:
-			delays[victim] = 0
+			delays[drawn.victim] = 0
 		case 1:
-			delays[victim] = minDown + spread
+			delays[drawn.victim] = minDown + spread
 		}
 	}
 	f.soak.logFault("hosts start after %v", delays)
 	var group sync.WaitGroup
 	for i, delay := range delays {
+		if i == drawn.gone {
+			continue
+		}
 		group.Go(func() {
 			time.Sleep(delay)
 			if i < len(fleet.controllers) {
 				fleet.relays[i].PowerOn()
 				f.startProcess(fleet.controllers[i])
 			}
-			if i < len(fleet.gateways) {
-				f.startProcess(fleet.gateways[i])
-				ends[i]()
-			}
+			f.startGateway(i)
 		})
 	}
 	group.Wait()
-	f.soak.logFault("all hosts are back after %s", slices.Max(delays))
+	f.soak.logFault("all hosts are back")
 }
 
 // awaitReads waits until every controller has answered a read, at most readingTimeout from the
-// return of all hosts.
-func (f *faults) awaitReads(ctx context.Context, back time.Time) {
+// return of all hosts. It leaves out the controller with the index gone.
+func (f *faults) awaitReads(ctx context.Context, back time.Time, gone int) {
 	reading, cancel := context.WithDeadline(ctx, back.Add(readingTimeout))
 	defer cancel()
 	var group sync.WaitGroup
-	for _, p := range f.soak.fleet.controllers {
+	for i, p := range f.soak.fleet.controllers {
+		if i == gone {
+			continue
+		}
 		group.Go(func() {
 			for cause := ""; ; time.Sleep(readInterval) {
 				ok, last := f.soak.operator.readConfiguration(reading, p)
--- a/bench/internal/soak/soak.go
+++ b/bench/internal/soak/soak.go
@@ -170,7 +170,7 @@
 	defer cancel()
 	random := rand.New(rand.NewPCG(s.options.Seed, 0))
 	s.operator.changeConfiguration(starting, random)
-	if missing := s.awaitServing(starting, servedKinds); missing != "" {
+	if missing := s.awaitServing(starting, servedKinds, -1); missing != "" {
 		return merry.Errorf("not served within %s of the start: %s", startTimeout, missing)
 	}
 	return nil
@@ -209,7 +209,7 @@
 	stopInjecting()
 	s.logFault("the last fault is over")
 	recovering, cancel := context.WithTimeout(ctx, recoveryTimeout)
-	if missing := s.awaitServing(recovering, servedKinds); missing != "" && ctx.Err() == nil {
+	if missing := s.awaitServing(recovering, servedKinds, -1); missing != "" && ctx.Err() == nil {
 		s.ledger.RecordViolation("recovery", "not served within %s of the last fault: %s", recoveryTimeout, missing)
 	}
 	cancel()
@@ -262,10 +262,14 @@
 
 // awaitServing waits until each gateway serves each of the kinds of requests. It returns a
 // missing kind and gateway when the context ends, or "" if none is missing.
-func (s *Soak) awaitServing(ctx context.Context, kinds []Kind) string {
+// It leaves out the gateway with the index gone.
+func (s *Soak) awaitServing(ctx context.Context, kinds []Kind, gone int) string {
 	missing := make([]string, len(s.fleet.gateways))
 	var group sync.WaitGroup
 	for g := range s.fleet.gateways {
+		if g == gone {
+			continue
+		}
 		group.Go(func() { missing[g] = s.awaitGateway(ctx, g, kinds) })
 	}
 	group.Wait()
