--- a/bench/internal/soak/powerloss.go
+++ b/bench/internal/soak/powerloss.go
@@ -94,6 +94,7 @@
 	}
 	f.drawSeeds(random, true)
 	time.Sleep(replacementDelay)
+	f.soak.fleet.relays[i].PowerOn() // the loss of power may have lasted until now
 	f.startProcess(p)
 	f.soak.logFault("%s is replaced at %s", p.name, p.listenAddress())
 }
