--- a/bench/internal/soak/faults.go
+++ b/bench/internal/soak/faults.go
@@ -131,12 +131,13 @@
 }
 
 // restart ends a process and starts it again. A process that is asked to stop must lose no
-// answers, so the fault counts from the end of the process.
+// answers, so the fault counts from the end of the process; that of one that is killed counts from the
+// signal, since its connections may end long before the process has.
 func (f *faults) restart(p *process, random *rand.Rand, end func(*process)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	end(p)
-	endFault := p.faultTimes.begin()
+	endFault := p.faultTimes.beginAt(p.ended)
 	time.Sleep(randomDuration(random, time.Second))
 	f.startProcess(p)
 	endFault()
--- a/bench/internal/soak/fleet.go
+++ b/bench/internal/soak/fleet.go
@@ -47,7 +47,8 @@
 	command    *exec.Cmd
 	done       chan struct{}
 	started    time.Time
-	stopping   bool // it was asked to stop, or killed
+	stopping   bool      // it was asked to stop, or killed
+	ended      time.Time // when it was killed, or had ended after it was asked to stop
 	faultTimes intervals
 
 	listenMu sync.Mutex
@@ -109,6 +110,7 @@
 // kill ends the process with SIGKILL and waits for its end.
 func (p *process) kill() {
 	p.stopping = true
+	p.ended = time.Now()
 	p.signal(syscall.SIGKILL)
 	<-p.done
 }
@@ -119,6 +121,7 @@
 	p.signal(syscall.SIGTERM)
 	select {
 	case <-p.done:
+		p.ended = time.Now()
 	case <-time.After(graceSeconds * time.Second):
 		p.kill()
 	}
--- a/bench/internal/soak/relay.go
+++ b/bench/internal/soak/relay.go
@@ -255,9 +255,12 @@
 type interval struct{ from, to time.Time }
 
 // begin starts an interval and returns the function that ends it.
-func (s *intervals) begin() func() {
+func (s *intervals) begin() func() { return s.beginAt(time.Now()) }
+
+// beginAt is begin for an interval that started at a time before.
+func (s *intervals) beginAt(from time.Time) func() {
 	one := &interval{
-		from: time.Now(),
+		from: from,
 	}
 	s.mu.Lock()
 	s.list = append(s.list, one)
