gateway: an unnamed answer on a kept connection is not trusted

Callers were told 503 or 429, which guarantees that a request was not run, for requests that an upstream had run, or such a request ran at a second upstream: a faulty upstream wrote the refusal of an earlier request once more on a kept connection, without the attempt's identifier.

Cause: an answer that names no attempt was taken for the answer to the request that waited. The upstream's duplicate that came after the connection was taken from the pool could not be told from it.

On a connection that has carried an answer before, an answer now has to name the attempt; otherwise the exchange fails as one that may have run, so that the request goes elsewhere if it is idempotent and ends with 502 if not. A request without an identifier gets a connection of its own. Duplicates that name the earlier request were discarded before and still are.

--- a/gateway/internal/upstream/client.go
+++ b/gateway/internal/upstream/client.go
@@ -56,6 +56,9 @@
 	ErrTooLong = merry.Sentinel("the upstream exceeded a limit on the size of an answer or on interim answers")
 	// ErrWrongAttempt means that the connection delivered answers to other attempts.
 	ErrWrongAttempt = merry.Sentinel("the upstream answered other attempts than the one sent")
+	// ErrUnnamedAttempt means that the answer names no attempt, on a connection on which it
+	// may belong to an earlier request.
+	ErrUnnamedAttempt = merry.Sentinel("the upstream's answer on a kept connection names no attempt")
 )
 
 // Request is a complete request.
@@ -65,7 +68,8 @@
 	Head []byte
 	Body []byte
 	// ID identifies the attempt. An answer that names another one belongs to an earlier
-	// request and is discarded.
+	// request and is discarded. One that names none belongs to the request only if it is
+	// the first on its connection; otherwise the exchange fails.
 	ID string
 	// Deadline is when the exchange ends, including the reading of the body.
 	Deadline time.Time
@@ -133,7 +137,9 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
-	used    bool
+	// used is true after the first answer on the connection. The upstream may send that one
+	// again in place of a later one.
+	used bool
 	// headBytesLeft is how many more bytes may be read while readingHead is true.
 	headBytesLeft int
 	readingHead   bool
--- a/gateway/internal/upstream/exchange.go
+++ b/gateway/internal/upstream/exchange.go
@@ -43,7 +43,10 @@
 // ErrUnreachable if nothing was sent; after ErrStalled or ErrBroken the upstream may have
 // received the request.
 func (c *Client) Send(ctx context.Context, address string, r Request) (*Answer, error) {
-	k := c.takeIdle(address)
+	var k *conn
+	if r.ID != "" { // otherwise only a connection of its own shows which answer is the request's
+		k = c.takeIdle(address)
+	}
 	if k == nil {
 		var err error
 		if k, err = c.dial(ctx, address); err != nil {
@@ -91,13 +94,16 @@
 		if err != nil {
 			return err
 		}
-		if id := a.client.attemptOf(response.StatusCode, response.Header); id == "" || id == r.ID {
+		switch id := a.client.attemptOf(response.StatusCode, response.Header); {
+		case id == "" && a.conn.used:
+			return ErrUnnamedAttempt
+		case id == "" || id == r.ID:
 			a.accept(response)
 			return nil
-		}
-		if !discardBody(response) {
+		case !discardBody(response):
 			return ErrWrongAttempt
 		}
+		a.conn.used = true
 	}
 	return ErrWrongAttempt
 }
