--- /dev/null
+++ b/gateway/internal/serve/reply.go
@@ -0,0 +1,92 @@
+package serve
+
+import (
+	"net/http"
+	"time"
+
+	"baobabpaddle/fleet/call"
+	"baobabpaddle/fleet/dispatch"
+	"baobabpaddle/fleet/trace"
+	"baobabpaddle/gateway/internal/upstream"
+)
+
+// rejection is why an upstream's answer is not forwarded.
+type rejection struct {
+	// cause is the cause in logs; empty for an ordinary error of the upstream.
+	cause string
+	// reported is the outcome that the scheduler learns.
+	reported dispatch.Outcome
+	outcome  outcome
+}
+
+// checkReply returns why the answer is not forwarded, or nil if it is. Successful answers
+// must be signed by an upstream and have no content encoding: any other was not made by an
+// upstream.
+func (x *exchange) checkReply(answer *upstream.Answer, reply call.Reply) *rejection {
+	switch {
+	case reply.OtherUpstream:
+		return &rejection{
+			cause:    "another upstream has the address",
+			reported: dispatch.AddressReassigned,
+			outcome:  notRun,
+		}
+	case reply.NotRun && answer.Status != http.StatusBadRequest:
+		return &rejection{
+			cause:    "the upstream rejected the request",
+			reported: dispatch.NotRun,
+			outcome:  notRun,
+		}
+	case answer.Status < http.StatusMultipleChoices && (!reply.Signed || answer.Header.Get("Content-Encoding") != ""):
+		return &rejection{
+			cause:    "the answer was not made by an upstream",
+			reported: dispatch.Broken,
+			outcome:  failed,
+		}
+	case x.headSent && answer.Status >= http.StatusMultipleChoices:
+		return &rejection{
+			cause:    "the stream can't go on here",
+			reported: dispatch.Failed,
+			outcome:  truncated,
+		}
+	case answer.Status >= http.StatusInternalServerError && x.route.Idempotent() && x.sentTo()+1 < x.route.MaxUpstreams:
+		return &rejection{
+			reported: dispatch.Failed,
+			outcome:  failed,
+		}
+	}
+	return nil
+}
+
+// reportNotice reports to the scheduler and the log whether an upstream said in its reply
+// that it shuts down or wants no requests for a time.
+func (x *exchange) reportNotice(upstream string, reply call.Reply) {
+	notice := dispatch.Notice{
+		Upstream: upstream,
+		Leaving:  reply.Leaving && !reply.OtherUpstream,
+		Backoff:  reply.Backoff,
+	}
+	if notice.Empty() {
+		return
+	}
+	x.handler.scheduler.ReportNotice(notice)
+	x.requestLog().Step(time.Now(), trace.UpstreamNotice{
+		Notice: notice,
+	})
+}
+
+// reportRateLimit reports to the scheduler the rate limit that an upstream states in its
+// reply, or that it states none although one is known.
+func (x *exchange) reportRateLimit(d dispatch.Decision, reply call.Reply) {
+	if reply.OtherUpstream || reply.RateLimit.Malformed {
+		return
+	}
+	h := x.handler
+	if _, limited := h.scheduler.View().RateLimits[d.Upstream]; !limited && !reply.RateLimit.Stated {
+		return
+	}
+	h.scheduler.ReportRateLimit(dispatch.RateLimitReport{
+		Request:  d.ID,
+		Upstream: d.Upstream,
+		Limit:    reply.RateLimit,
+	})
+}
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -243,9 +243,7 @@
 }
 
 // send sends the request to one upstream, forwards the answer and reports the outcome to
-// the scheduler. It sets the status and the cause of a failure in step. Successful
-// answers must be signed by an upstream and have no content encoding: any other was
-// not made by an upstream and is not forwarded.
+// the scheduler. It sets the status and the cause of a failure in step.
 func (x *exchange) send(d dispatch.Decision, step *trace.Tried) outcome {
 	h := x.handler
 	destination, ok := h.scheduler.View().Upstreams[d.Upstream]
@@ -265,26 +263,10 @@
 	x.reportNotice(d.Upstream, reply)
 	step.RateLimit = reply.RateLimit
 	x.reportRateLimit(d, reply)
-	switch {
-	case reply.OtherUpstream:
-		step.Cause = "another upstream has the address"
-		h.scheduler.ReportOutcome(d.ID, dispatch.AddressReassigned)
-		return notRun
-	case reply.NotRun && answer.Status != http.StatusBadRequest:
-		step.Cause = "the upstream rejected the request"
-		h.scheduler.ReportOutcome(d.ID, dispatch.NotRun)
-		return notRun
-	case answer.Status < http.StatusMultipleChoices && (!reply.Signed || answer.Header.Get("Content-Encoding") != ""):
-		step.Cause = "the answer was not made by an upstream"
-		h.scheduler.ReportOutcome(d.ID, dispatch.Broken)
-		return failed
-	case x.headSent && answer.Status >= http.StatusMultipleChoices:
-		step.Cause = "the stream can't go on here"
-		h.scheduler.ReportOutcome(d.ID, dispatch.Failed)
-		return truncated
-	case answer.Status >= http.StatusInternalServerError && x.route.Idempotent() && x.sentTo()+1 < x.route.MaxUpstreams:
-		h.scheduler.ReportOutcome(d.ID, dispatch.Failed)
-		return failed
+	if r := x.checkReply(answer, reply); r != nil {
+		step.Cause = r.cause
+		h.scheduler.ReportOutcome(d.ID, r.reported)
+		return r.outcome
 	}
 	if x.route.Kind == configuration.Stream && answer.Status < http.StatusMultipleChoices {
 		return x.forward(d.ID, destination.Address, answer, x.forwardEvents)
@@ -292,40 +274,6 @@
 	return x.forward(d.ID, destination.Address, answer, x.forwardBuffered)
 }
 
-// reportNotice reports to the scheduler and the log whether an upstream said in its reply
-// that it shuts down or wants no requests for a time.
-func (x *exchange) reportNotice(upstream string, reply call.Reply) {
-	notice := dispatch.Notice{
-		Upstream: upstream,
-		Leaving:  reply.Leaving && !reply.OtherUpstream,
-		Backoff:  reply.Backoff,
-	}
-	if notice.Empty() {
-		return
-	}
-	x.handler.scheduler.ReportNotice(notice)
-	x.requestLog().Step(time.Now(), trace.UpstreamNotice{
-		Notice: notice,
-	})
-}
-
-// reportRateLimit reports to the scheduler the rate limit that an upstream states in its
-// reply, or that it states none although one is known.
-func (x *exchange) reportRateLimit(d dispatch.Decision, reply call.Reply) {
-	if reply.OtherUpstream || reply.RateLimit.Malformed {
-		return
-	}
-	h := x.handler
-	if _, limited := h.scheduler.View().RateLimits[d.Upstream]; !limited && !reply.RateLimit.Stated {
-		return
-	}
-	h.scheduler.ReportRateLimit(dispatch.RateLimitReport{
-		Request:  d.ID,
-		Upstream: d.Upstream,
-		Limit:    reply.RateLimit,
-	})
-}
-
 // upstreamRequest returns the request to the upstream with the given identifier. A
 // resumed stream carries the identifier of the last event that was received completely.
 func (x *exchange) upstreamRequest(id string) upstream.Request {
