gateway: a refusal without the mark of an upstream is no promise

Callers of requests that may run only once were told 408, 429 or 503, which guarantee that a request was not run, although the upstream that gave the status had not said so and may have run it.

Cause: only the mark decides whether the gateway sends the request elsewhere, but an answer without it was forwarded with its status and signature, whatever the status means to callers.

The platform now tells which statuses callers take as such a guarantee, and a request that is not idempotent ends with 502 when its upstream gives one of them without the mark. Idempotent requests still get the answer of their last upstream unchanged.

--- a/fleet/call/call.go
+++ b/fleet/call/call.go
@@ -39,6 +39,8 @@
 	// NotRun is true if the upstream has not run the request and never will, so that it
 	// may be sent elsewhere.
 	NotRun bool
+	// Refusal is true if callers take the status to mean that the request was not run.
+	Refusal bool
 	// OtherUpstream is true if another upstream than the expected one has the address.
 	OtherUpstream bool
 	// Leaving is true if the upstream shuts down soon and accepts no new requests.
--- a/gateway/internal/serve/duplicate_test.go
+++ b/gateway/internal/serve/duplicate_test.go
@@ -71,3 +71,38 @@
 		}
 	}
 }
+
+// TestUnmarkedRefusalIsNoPromise guards against an upstream's status that tells callers that a
+// request was not run, although the upstream does not say so and may have run it.
+func TestUnmarkedRefusalIsNoPromise(t *testing.T) {
+	for _, status := range []string{"408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable"} {
+		for _, signature := range []string{stamp, ""} {
+			for _, path := range []string{"/book/", "/draft/"} {
+				t.Run(path+" "+status+" "+signature, func(t *testing.T) {
+					is := is.New(t)
+					g := newTestGateway(t, reply(status, signature, "no"), reply("200 OK", stamp, "yes"))
+					response, _, err := g.send(path, "X-Api-Key", "key-1")
+					is.NoErr(err)
+					is.Equal(response.StatusCode, http.StatusBadGateway)
+					is.Equal(response.Header.Get("Baobabpaddle-Server-Stamp"), "") // the status is not the upstream's
+					is.Equal(response.Header.Get("Retry-After"), "")
+					is.Equal(g.requestCount(), 1)
+				})
+			}
+		}
+	}
+}
+
+// TestRefusalOfIdempotentRequestIsForwarded checks that the answer of the last upstream that
+// an idempotent request may be sent to reaches the caller unchanged, whatever its status.
+func TestRefusalOfIdempotentRequestIsForwarded(t *testing.T) {
+	is := is.New(t)
+	busy := reply("503 Service Unavailable", stamp+"Retry-After: 1\r\n", "busy")
+	g := newTestGateway(t, busy, busy)
+	response, body, err := g.send("/look/")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(response.Header.Get("Baobabpaddle-Server-Stamp"), "s")
+	is.Equal(body, "busy")
+	is.Equal(g.requestCount(), 2)
+}
--- a/gateway/internal/serve/reply.go
+++ b/gateway/internal/serve/reply.go
@@ -21,7 +21,8 @@
 
 // checkReply returns why the answer is not forwarded, or nil if it is. Successful answers
 // must be signed by an upstream and have no content encoding: any other was not made by an
-// upstream.
+// upstream. A refusal that does not say that the request was not run is not forwarded to a
+// caller whose request may run only once, since the caller would send it again.
 func (x *exchange) checkReply(answer *upstream.Answer, reply call.Reply) *rejection {
 	switch {
 	case reply.OtherUpstream:
@@ -42,6 +43,12 @@
 			reported: dispatch.Broken,
 			outcome:  failed,
 		}
+	case reply.Refusal && !x.route.Idempotent(): // one that was not run is handled above
+		return &rejection{
+			cause:    "the upstream refused the request and may have run it",
+			reported: dispatch.Failed,
+			outcome:  failed,
+		}
 	case x.headSent && answer.Status >= http.StatusMultipleChoices:
 		return &rejection{
 			cause:    "the stream can't go on here",
