gateway: a stream goes on only with the next event of a stream

Callers found the text of an error, or a head, in the middle of their streams, or the stream ended as if it were complete: the stream had begun and broke off, and the next upstream answered something else than the rest of it.

Cause: after the head was sent, only answers with an error status were kept out. A 200 with JSON or text, a 206, and a stream that begins with an error event, a head or events that the caller has already were appended; a 204 and an empty JSON body ended the stream as complete.

An answer now continues another one only with the same status and media type, and its first event must have an identifier that follows the last one. Otherwise nothing of it is forwarded, and the stream is resumed at another upstream or breaks off.

--- a/gateway/internal/serve/events.go
+++ b/gateway/internal/serve/events.go
@@ -1,6 +1,9 @@
 package serve
 
-import "bytes"
+import (
+	"bytes"
+	"strconv"
+)
 
 // eventScanner splits a stream of server-sent events into complete events.
 type eventScanner struct {
@@ -60,3 +63,31 @@
 
 // dropPartial drops an incomplete event before another upstream resumes the stream.
 func (s *eventScanner) dropPartial() { s.partial = nil }
+
+// firstID returns the identifier of the first of some complete events, which is empty if it
+// has none. Without any event, such as in comments, found is false.
+func firstID(whole []byte) (id string, found bool) {
+	for event := range bytes.SplitSeq(whole, []byte("\n\n")) {
+		for line := range bytes.SplitSeq(event, []byte("\n")) {
+			if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+				return string(bytes.TrimSpace(value)), true
+			}
+			found = found || len(line) > 0 && line[0] != ':'
+		}
+		if found {
+			return "", true
+		}
+	}
+	return "", false
+}
+
+// follows reports whether an event with the identifier id may come after the one with the
+// identifier last. Identifiers that are numbers increase.
+func follows(id, last string) bool {
+	number, errID := strconv.ParseUint(id, 10, 64)
+	lastNumber, errLast := strconv.ParseUint(last, 10, 64)
+	if errID == nil && errLast == nil {
+		return number > lastNumber
+	}
+	return id != "" && id != last
+}
--- a/gateway/internal/serve/events_test.go
+++ b/gateway/internal/serve/events_test.go
@@ -50,3 +50,35 @@
 		}
 	})
 }
+
+// TestFirstEventMustFollow guards against a resumed stream that goes on with anything else
+// than an event after the last one.
+func TestFirstEventMustFollow(t *testing.T) {
+	for name, c := range map[string]struct {
+		whole   string
+		last    string
+		found   bool
+		follows bool
+	}{
+		"the next":                {"id: 10\ndata: x\n\n", "9", true, true},
+		"one left out":            {"id:12\ndata: x\n\n", "9", true, true},
+		"the same":                {"id: 9\ndata: x\n\n", "9", true, false},
+		"an earlier one":          {"id: 1\ndata: x\n\nid: 10\ndata: x\n\n", "9", true, false},
+		"no identifier":           {"data: id:10\n\nid: 10\ndata: x\n\n", "9", true, false},
+		"a line before it":        {"version: 7\nid: 10\ndata: x\n\n", "9", true, true},
+		"after a comment":         {": wait\n\nid: 10\ndata: x\n\n", "9", true, true},
+		"comments only":           {": wait\n\n:id: 10\n\n", "9", false, false},
+		"names":                   {"id: b\ndata: x\n\n", "a", true, true},
+		"the same name":           {"id: a\ndata: x\n\n", "a", true, false},
+		"a stream without events": {"\n\n", "9", false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			id, found := firstID([]byte(c.whole))
+			is.Equal(found, c.found)
+			if found {
+				is.Equal(follows(id, c.last), c.follows)
+			}
+		})
+	}
+}
--- a/gateway/internal/serve/forward.go
+++ b/gateway/internal/serve/forward.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"baobabpaddle/fleet/dispatch"
 	"baobabpaddle/gateway/internal/upstream"
 )
@@ -177,19 +179,32 @@
 	callerWriteTimeout = 10 * time.Second
 )
 
+// errNotContinued means that an upstream that was asked to resume a stream sent something
+// else than its next event.
+var errNotContinued = merry.Sentinel("the upstream's stream does not continue the one that broke off")
+
 // forwardEvents forwards a stream as its events arrive, complete events only. The head is
 // sent with the first event, so that a failure before it can still be answered with an
-// error status.
+// error status. A resumed stream must go on with an event that follows the last one.
 func (x *exchange) forwardEvents(id uint64, answer *upstream.Answer) outcome {
 	buffer := make([]byte, readBufferBytes)
 	control := http.NewResponseController(x.w)
 	first := true
+	resumed := x.headSent // until the first event
 	var began time.Time
 	for {
 		n, err := answer.Read(buffer)
 		if n > 0 {
 			before := string(x.events.lastID)
 			if whole := x.events.next(buffer[:n]); len(whole) > 0 {
+				if resumed {
+					next, found := firstID(whole)
+					if found && !follows(next, before) {
+						x.events.lastID = []byte(before)
+						return x.breakStream(errNotContinued)
+					}
+					resumed = !found
+				}
 				if first {
 					first = false
 					began = time.Now()
--- a/gateway/internal/serve/reply.go
+++ b/gateway/internal/serve/reply.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"baobabpaddle/fleet/call"
@@ -49,7 +50,7 @@
 			reported: dispatch.Failed,
 			outcome:  failed,
 		}
-	case x.headSent && answer.Status >= http.StatusMultipleChoices:
+	case x.headSent && !x.continuedBy(answer):
 		return &rejection{
 			cause:    "the stream can't go on here",
 			reported: dispatch.Failed,
@@ -64,6 +65,18 @@
 	return nil
 }
 
+// continuedBy reports whether the answer can continue the one whose head was sent: it must
+// have the same status and media type, since its body goes on under that head.
+func (x *exchange) continuedBy(answer *upstream.Answer) bool {
+	return answer.Status == x.status && mediaType(answer.Header) == mediaType(x.w.Header())
+}
+
+// mediaType returns the media type of an answer without parameters.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // reportNotice reports to the scheduler and the log whether an upstream said in its reply
 // that it shuts down or wants no requests for a time.
 func (x *exchange) reportNotice(upstream string, reply call.Reply) {
