gateway: an answer that no upstream can continue is sent to none

A stream whose events have no identifiers broke off and began again in the middle of the caller's answer. The same streams, and long plain answers that had begun, were broken off by a stall timeout although nobody could continue them, and the retry budget was charged.

Cause: whether an answer that has begun can be continued was decided by the kind of its route only, after the exchange had been abandoned; without an identifier the next upstream starts at the first event.

One condition now decides both: an answer that has begun is continued elsewhere only if it is a stream whose events have identifiers. Without that, a stall timeout abandons nothing.

--- a/gateway/internal/serve/resumed_test.go
+++ b/gateway/internal/serve/resumed_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -107,3 +108,54 @@
 		})
 	}
 }
+
+// TestStreamWithoutIdentifiersIsNotResumed guards against a stream that begins again in the
+// middle of an answer, since no identifier tells the next upstream what its caller has.
+func TestStreamWithoutIdentifiersIsNotResumed(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(t, eventStream("data: x\n\n", false), eventStream("data: x\n\ndata: y\n\n", true))
+	_, body, err := g.send("/chat/", "X-Api-Key", "key-1")
+	is.True(err != nil)
+	is.Equal(body, "data: x\n\n")
+	is.Equal(g.requestCount(), 1)
+}
+
+// TestSilentAnswerThatCannotContinueIsNotAbandoned guards against answers that are broken off
+// for another upstream although that one can't go on with them: a stream without identifiers
+// and a long plain answer.
+func TestSilentAnswerThatCannotContinueIsNotAbandoned(t *testing.T) {
+	long := strings.Repeat("x", testLimits.BufferedBytes+1)
+	for _, c := range []struct {
+		path  string
+		head  string
+		begin string
+		end   string
+	}{
+		{
+			path:  "/chat/",
+			head:  eventType,
+			begin: "data: x\n\n",
+			end:   "data: y\n\n",
+		},
+		{
+			path:  "/look/",
+			begin: long,
+			end:   "yy",
+		},
+	} {
+		t.Run(c.path, func(t *testing.T) {
+			is := is.New(t)
+			slow := func(w net.Conn, r *http.Request) bool {
+				rawAnswer("200 OK", stamp+c.head+"Content-Length: "+lengthOf(c.begin+c.end)+"\r\n\r\n"+c.begin)(w, r)
+				time.Sleep(minStreamWait * 7 / 10)
+				_, _ = io.WriteString(w, c.end)
+				return true
+			}
+			g := newTestGateway(t, slow, reply("200 OK", stamp, "no"))
+			_, body, err := g.send(c.path, "X-Api-Key", "key-1")
+			is.NoErr(err)
+			is.Equal(body, c.begin+c.end)
+			is.Equal(g.requestCount(), 1)
+		})
+	}
+}
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -100,14 +100,20 @@
 		return "" // nothing was sent, so the budget is not charged again
 	case result != notRun && !x.route.Idempotent():
 		return "may_have_run"
-	case result == truncated && x.route.Kind != configuration.Stream:
-		return "begun" // only streams can be resumed at another upstream
+	case !x.canContinueElsewhere():
+		return "begun"
 	case !x.mayRetry():
 		return "budget"
 	}
 	return ""
 }
 
+// canContinueElsewhere reports whether another upstream can go on with the answer. Of an
+// answer that has begun it can only continue a stream whose events have identifiers.
+func (x *exchange) canContinueElsewhere() bool {
+	return !x.headSent || x.route.Kind == configuration.Stream && len(x.events.lastID) > 0
+}
+
 // maxRefusedConns is the number of upstreams that may refuse the connection of one request.
 const maxRefusedConns = 4
 
--- a/gateway/internal/serve/stall_timeout.go
+++ b/gateway/internal/serve/stall_timeout.go
@@ -32,14 +32,15 @@
 
 // stallTimeouts returns the time limits after which an upstream that sends nothing is
 // abandoned for another one. A request that may not be sent elsewhere has no limit but
-// its deadline, and none is abandoned if the retry budget is used up.
+// its deadline, and none is abandoned if the retry budget is used up or no other upstream
+// can continue its answer.
 func (x *exchange) stallTimeouts(now time.Time) upstream.StallPolicy {
 	if !x.route.Idempotent() || x.sentTo()+1 >= x.route.MaxUpstreams {
 		return upstream.StallPolicy{}
 	}
 	p := upstream.StallPolicy{
 		OnStall: func() bool {
-			x.retryCounted = x.mayRetry()
+			x.retryCounted = x.canContinueElsewhere() && x.mayRetry()
 			return x.retryCounted
 		},
 	}
