--- a/gateway/internal/upstream/exchange.go
+++ b/gateway/internal/upstream/exchange.go
@@ -149,27 +149,6 @@
 	return err
 }
 
-// readHead reads the head of the next final response, within the client's limits.
-func (a *Answer) readHead(method string) (*http.Response, error) {
-	request := &http.Request{
-		Method: method,
-	}
-	k := a.conn
-	k.readingHead, k.headBytesLeft = true, a.client.limits.HeadBytes
-	defer func() { k.readingHead = false }()
-	for range a.client.limits.Interim + 1 {
-		response, err := http.ReadResponse(a.conn.reader, request)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-		// Interim responses are dropped.
-	}
-	return nil, ErrTooLong
-}
-
 // discardBody reads the body of an answer to another attempt, and reports whether the
 // connection can be used further.
 func discardBody(response *http.Response) bool {
