sidecar: each run has a connection of its own

A caller of an idempotent request, which includes all chats, got the answer to another request, possibly another team's, when an upstream wrote that answer once more on a kept connection while the next request was there.

Cause: requests to the upstreams of sidecars carry no identifier that answers repeat, so only the connection tells which request an answer belongs to. Requests that are not idempotent had a connection of their own already. Go's transport drops what arrives on an idle connection, but not what arrives after it was taken for the next request.

Now all runs have a connection of their own, and only load reports share them. TestNonIdempotentRequestIsNotResent expects that idempotent requests are not resent either; that its upstream provokes the resending is shown on a client made to keep connections.

--- a/sidecar/internal/upstream/client.go
+++ b/sidecar/internal/upstream/client.go
@@ -30,12 +30,13 @@
 // upstream.
 var ErrNotSent = merry.Sentinel("request not sent: no connection to the upstream")
 
-// Client sends requests to upstreams. It opens a new connection for each request that is
-// not idempotent, because Go's transport resends a request if a connection that it reuses
-// breaks. It is safe for concurrent use.
+// Client sends requests to upstreams. It opens a new connection for each request, because
+// nothing but its connection tells which request an answer belongs to, and because Go's
+// transport resends a request if a connection that it reuses breaks. Only load reports share
+// connections. It is safe for concurrent use.
 type Client struct {
 	singleUse *http.Client
-	keepAlive *http.Client
+	keepAlive *http.Client // for load reports
 }
 
 // NewClient returns a client without connections.
@@ -66,8 +67,7 @@
 // Do sends the request to the upstream at the URL and returns the response, whose body the
 // caller must close. The error wraps ErrNotSent if the request was certainly not sent.
 func (c *Client) Do(ctx context.Context, url string, r *wire.RunRequest, body []byte) (*http.Response, error) {
-	// The transport may resend an idempotent request on a second connection. Nothing
-	// was sent for certain only if it never obtained a connection.
+	// Nothing was sent for certain only if the transport never obtained a connection.
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
@@ -80,11 +80,7 @@
 	for name, values := range r.Header {
 		request.Header[name] = values
 	}
-	client := c.singleUse
-	if r.Idempotent {
-		client = c.keepAlive
-	}
-	response, err := client.Do(request)
+	response, err := c.singleUse.Do(request)
 	if err == nil {
 		return response, nil
 	}
--- a/sidecar/internal/upstream/client_test.go
+++ b/sidecar/internal/upstream/client_test.go
@@ -49,32 +49,40 @@
 	return "http://" + l.Addr().String()
 }
 
-// TestNonIdempotentRequestIsNotResent guards against running a non-idempotent request
-// twice. Go's transport resends a POST with an Idempotency-Key if a connection that it
-// reuses breaks. The idempotent case shows that this upstream provokes the resending.
+// TestNonIdempotentRequestIsNotResent guards against running a request twice. Go's transport
+// resends a POST with an Idempotency-Key if a connection that it reuses breaks. The case of a
+// transport that keeps connections shows that this upstream provokes the resending.
 func TestNonIdempotentRequestIsNotResent(t *testing.T) {
 	for _, test := range []struct {
 		name       string
+		client     *Client
 		idempotent bool
 		resent     bool
 	}{
 		{
-			name: "claimed",
+			name:   "claimed",
+			client: NewClient(),
 		},
 		{
 			name:       "idempotent",
+			client:     NewClient(),
 			idempotent: true,
-			resent:     true,
+		},
+		{
+			name: "on kept connections",
+			client: &Client{
+				singleUse: newHTTPClient(true),
+			},
+			resent: true,
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			var seen atomic.Int64
 			url := startBreakingUpstream(t, &seen)
-			client := NewClient()
 			const sent = 5
 			for range sent {
-				response, err := client.Do(context.Background(), url, &wire.RunRequest{
+				response, err := test.client.Do(context.Background(), url, &wire.RunRequest{
 					Method:     http.MethodPost,
 					Path:       "/bookings",
 					Idempotent: test.idempotent,
