soak: faulty answers of upstreams to real processes

TestFaultyAnswersBreakNoRule has a third of the executions answered as in the reports of other operators: a refusal of an earlier request written again on a kept connection, with its identifier or none; heads cut off at any byte; streams that break off and are answered with an error, JSON, nothing or text instead of their rest. Two gateways and a controller serve all kinds of requests meanwhile, and the ledger's rules judge the answers.

A refusal without identifier that is the first answer on its connection is still believed.

--- a/bench/internal/soak/upstream.go
+++ b/bench/internal/soak/upstream.go
@@ -43,6 +43,8 @@
 	// or zero. Limited are the times at which requests arrived while it stated one.
 	rateLimit float64
 	limited   []time.Time
+	// misbehave, unless it is nil, may answer an execution instead, and reports whether it did.
+	misbehave func(w http.ResponseWriter, r *http.Request, a *Attempt, e *Execution) bool
 
 	// readMu serialises the reading of prompts under the fault "reads slowly".
 	readMu sync.Mutex
@@ -265,6 +267,12 @@
 	u.ledger.mu.Lock()
 	number := len(a.Executions) - 1
 	u.ledger.mu.Unlock()
+	u.mu.Lock()
+	misbehave := u.misbehave
+	u.mu.Unlock()
+	if misbehave != nil && misbehave(w, r, a, execution) {
+		return
+	}
 	affected := rand.IntN(3) == 0 // some faults hit only a third of the requests
 	switch {
 	case fault == "hang":
