gateway: the pace of a resumed stream counts from its first event

A draining gateway would refuse streams that end in time, or take ones that it cuts off: one resumed stream spoils its estimate of the time per token.

Cause: the tokens of the whole stream were divided by the time at the last upstream only, and by the time since year one if that upstream sent no event, since all of them had arrived before. Found while the reports on broken streams were looked into; no such refusal was seen.

The time now counts from the first event of the answer, whichever upstream sent it. Before: both cases of TestPaceOfResumedStream failed.

--- a/gateway/internal/serve/forward.go
+++ b/gateway/internal/serve/forward.go
@@ -191,7 +191,6 @@
 	control := http.NewResponseController(x.w)
 	first := true
 	resumed := x.headSent // until the first event
-	var began time.Time
 	for {
 		n, err := answer.Read(buffer)
 		if n > 0 {
@@ -207,7 +206,6 @@
 				}
 				if first {
 					first = false
-					began = time.Now()
 					x.handler.scheduler.ReportStarted(id)
 				}
 				if string(x.events.lastID) != before {
@@ -223,7 +221,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			x.handler.pace.observe(x.tokensReceived(), time.Since(began))
+			x.handler.pace.observe(x.tokensReceived(), time.Since(x.firstByteAt))
 			return x.finishStream(answer, !first)
 		}
 		if err == nil && x.events.partialSize() > x.handler.limits.EventBytes {
