--- a/gateway/internal/upstream/exchange.go
+++ b/gateway/internal/upstream/exchange.go
@@ -43,7 +43,10 @@
 // ErrUnreachable if nothing was sent; after ErrStalled or ErrBroken the upstream may have
 // received the request.
 func (c *Client) Send(ctx context.Context, address string, r Request) (*Answer, error) {
-	k := c.takeIdle(address)
+	var k *conn
+	if r.ID != "" { // otherwise only a connection of its own shows which answer is the request's
+		k = c.takeIdle(address)
+	}
 	if k == nil {
 		var err error
 		if k, err = c.dial(ctx, address); err != nil {
@@ -91,13 +94,16 @@
 		if err != nil {
 			return err
 		}
-		if id := a.client.attemptOf(response.StatusCode, response.Header); id == "" || id == r.ID {
+		switch id := a.client.attemptOf(response.StatusCode, response.Header); {
+		case id == "" && a.conn.used:
+			return ErrUnnamedAttempt
+		case id == "" || id == r.ID:
 			a.accept(response)
 			return nil
-		}
-		if !discardBody(response) {
+		case !discardBody(response):
 			return ErrWrongAttempt
 		}
+		a.conn.used = true
 	}
 	return ErrWrongAttempt
 }
@@ -143,27 +149,6 @@
 	return err
 }
 
-// readHead reads the head of the next final response, within the client's limits.
-func (a *Answer) readHead(method string) (*http.Response, error) {
-	request := &http.Request{
-		Method: method,
-	}
-	k := a.conn
-	k.readingHead, k.headBytesLeft = true, a.client.limits.HeadBytes
-	defer func() { k.readingHead = false }()
-	for range a.client.limits.Interim + 1 {
-		response, err := http.ReadResponse(a.conn.reader, request)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-		// Interim responses are dropped.
-	}
-	return nil, ErrTooLong
-}
-
 // discardBody reads the body of an answer to another attempt, and reports whether the
 // connection can be used further.
 func discardBody(response *http.Response) bool {
