membership, peer: the leader's name has the age of its term, and all members are asked to join

A leader that lost its disk after its log had been compacted was in no group for good: the group went on with two of three voters, and the next lost disk left one, with empty replicas beside it that refuse each call at once. The new leader, at a lower index, could not replace the name, and the empty controller asked only that address, its own, to join. Change: the leader's address is kept by its term, apart from the members; a controller that joins asks the leader and all members at once. Field leader_term of hello replies; peers of the version before send none and are believed only where no term is known.

--- a/controller/internal/peer/gossip.go
+++ b/controller/internal/peer/gossip.go
@@ -200,6 +200,7 @@
 		Members:      members,
 		MembersIndex: g.Group.Index,
 		Leader:       g.Group.Leader,
+		LeaderTerm:   g.Group.LeaderTerm,
 	}, nil
 }
 
@@ -217,6 +218,8 @@
 			Members: members,
 			Index:   r.GetMembersIndex(),
 			Leader:  r.GetLeader(),
+
+			LeaderTerm: r.GetLeaderTerm(),
 		},
 	}, nil
 }
--- a/controller/internal/peer/member.go
+++ b/controller/internal/peer/member.go
@@ -198,6 +198,8 @@
 					Members: status.CommittedMembers,
 					Index:   status.CommittedMembersIndex,
 					Leader:  r.LeaderAddress(),
+
+					LeaderTerm: status.Term,
 				})
 			}
 			group = c.Group()
@@ -208,7 +210,7 @@
 			return
 		}
 		if _, member := group.Members.Find(id); !member && len(group.Members.List) > 0 {
-			m.join(ctx, id, group)
+			m.join(ctx, id)
 		}
 		select {
 		case <-ctx.Done():
@@ -218,22 +220,23 @@
 	}
 }
 
-// join asks the leader, or all members while no leader is known, to add the replica to
-// the group.
-func (m *Member) join(ctx context.Context, id uint64, group membership.Group) {
-	targets := []string{group.Leader}
-	if group.Leader == "" {
-		targets = nil
-		for _, member := range group.Members.List {
-			targets = append(targets, member.Address)
-		}
-	}
-	self := m.peers.Gossip().Self.Address
+// join asks the leader and the other members at the same time to add the replica to the
+// group, and returns when one has added it or all have answered.
+func (m *Member) join(ctx context.Context, id uint64) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var targets []string
+	m.peers.withCore(func(c *membership.Core) { targets = c.JoinTargets() })
+	request := joinRequest(id, m.peers.Gossip().Self.Address)
+	joined := make(chan bool, len(targets))
 	for _, target := range targets {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		reply, err := m.peers.client(target).Join(ctx, joinRequest(id, self))
-		cancel()
-		if err == nil && reply.GetJoined() {
+		go func() {
+			reply, err := m.peers.client(target).Join(ctx, request)
+			joined <- err == nil && reply.GetJoined() // a member that does not answer is asked again
+		}()
+	}
+	for range targets {
+		if <-joined {
 			return
 		}
 	}
--- a/fleet/membership/core.go
+++ b/fleet/membership/core.go
@@ -45,8 +45,10 @@
 	// Index is the log index up to which Members is known. The view with the
 	// higher index is the newer one.
 	Index uint64
-	// Leader is the leader's address, or "" if it is not known.
+	// Leader is the address of the newest known leader, or "" if none is known.
 	Leader string
+	// LeaderTerm is the term in which Leader leads or led.
+	LeaderTerm uint64
 }
 
 // Gossip is the message that controllers exchange.
@@ -111,16 +113,24 @@
 // SetReplica sets the identifier of this controller's replica; zero means none.
 func (c *Core) SetReplica(id uint64) { c.self.ReplicaID = id }
 
-// SetGroup updates the group from this controller's own replica. A group with a
-// lower index is ignored, and a known leader is kept if g has none.
+// SetGroup updates the group from this controller's own replica. Members with a lower
+// index are ignored, as is a leader of a lower term, and a known leader is kept if g has
+// none.
 func (c *Core) SetGroup(g Group) {
 	if g.Index >= c.group.Index {
-		leader := g.Leader
-		if leader == "" {
-			leader = c.group.Leader
-		}
-		c.group = g
-		c.group.Leader = leader
+		c.group.Members = g.Members
+		c.group.Index = g.Index
+	}
+	c.setLeader(g)
+}
+
+// setLeader takes a group's leader if it is not of an older term than the known one. The
+// index of the members tells nothing about the age of the leader: replicas know the same
+// members up to different indexes.
+func (c *Core) setLeader(g Group) {
+	if g.Leader != "" && g.LeaderTerm >= c.group.LeaderTerm {
+		c.group.Leader = g.Leader
+		c.group.LeaderTerm = g.LeaderTerm
 	}
 }
 
@@ -141,9 +151,8 @@
 }
 
 // Merge updates the view from a peer's gossip, and records contact with its
-// sender. The first founder heard of is kept; of two views of the group, the one
-// with the higher index. At the same index the sender's view is taken if it names
-// a leader.
+// sender. The first founder heard of is kept; of two views of the members, the one with
+// the higher index; of two leaders, the one with the higher term.
 func (c *Core) Merge(now time.Time, g Gossip) {
 	c.recordPeer(now, g.Self, true)
 	for _, k := range g.Peers {
@@ -152,9 +161,11 @@
 	if c.founder == "" {
 		c.founder = g.Founder
 	}
-	if g.Group.Index > c.group.Index || (g.Group.Index == c.group.Index && g.Group.Leader != "") {
-		c.group = g.Group
+	if g.Group.Index > c.group.Index {
+		c.group.Members = g.Group.Members
+		c.group.Index = g.Group.Index
 	}
+	c.setLeader(g.Group)
 }
 
 // recordPeer records a peer. direct is true when the description comes from the
@@ -294,6 +305,22 @@
 	return Wait
 }
 
+// JoinTargets returns the addresses of the controllers that this one asks to be added to
+// the group: the leader first, then the other members, since the leader may be another
+// one by now.
+func (c *Core) JoinTargets() []string {
+	var out []string
+	if c.group.Leader != "" {
+		out = append(out, c.group.Leader)
+	}
+	for _, m := range c.group.Members.List {
+		if !slices.Contains(out, m.Address) {
+			out = append(out, m.Address)
+		}
+	}
+	return out
+}
+
 // Removed reports whether this controller's replica was removed from the group.
 // It can return only under a new identifier then.
 func (c *Core) Removed() bool {
--- a/fleet/membership/power_member_test.go
+++ b/fleet/membership/power_member_test.go
@@ -99,6 +99,8 @@
 			Members: r.status.committed,
 			Index:   r.status.committedIndex,
 			Leader:  r.leaderAddress(),
+
+			LeaderTerm: r.status.term,
 		})
 	}
 	group := h.gossip.Group()
@@ -111,14 +113,7 @@
 		return
 	}
 	if _, member := group.Members.Find(r.id); !member && len(group.Members.List) > 0 {
-		targets := []string{group.Leader}
-		if group.Leader == "" {
-			targets = nil
-			for _, m := range group.Members.List {
-				targets = append(targets, m.Address)
-			}
-		}
-		r.join(targets)
+		r.join(h.gossip.JoinTargets())
 		return
 	}
 	h.after(memberInterval, r.maintainMembership)
@@ -127,24 +122,27 @@
 // join does what Member.join does, then goes on with maintainMembership.
 func (r *replica) join(targets []string) {
 	h := r.host
-	if r.stopped || len(targets) == 0 {
-		h.after(memberInterval, r.maintainMembership)
-		return
-	}
-	if h.reachable(targets[0]) == nil {
-		h.after(h.waitOfCall(callTimeout), func() { r.join(targets[1:]) })
-		return
-	}
-	h.after(h.fleet.latency(), func() {
-		joined := false
-		if target := h.reachable(targets[0]); target != nil {
-			joined = target.answerJoin(r.id, h.address)
+	waiting, done := len(targets), false
+	answer := func(joined bool) {
+		waiting--
+		if !done && (joined || waiting == 0) {
+			done = true
+			h.after(memberInterval, r.maintainMembership)
 		}
-		if joined {
-			targets = targets[:1]
+	}
+	for _, address := range targets {
+		if h.reachable(address) == nil {
+			h.after(h.waitOfCall(callTimeout), func() { answer(false) })
+			continue
 		}
-		h.after(h.fleet.latency(), func() { r.join(targets[1:]) })
-	})
+		h.after(h.fleet.latency(), func() {
+			joined := false
+			if target := h.reachable(address); target != nil && !r.stopped {
+				joined = target.answerJoin(r.id, h.address)
+			}
+			h.after(h.fleet.latency(), func() { answer(joined) })
+		})
+	}
 }
 
 // answerJoin does what Unary.Join does.
--- a/fleet/membership/power_replica_test.go
+++ b/fleet/membership/power_replica_test.go
@@ -45,6 +45,7 @@
 // status is what other goroutines see of a replica: the state after its last batch.
 type status struct {
 	role           raft.Role
+	term           uint64
 	leader         uint64
 	members        raft.Members
 	committed      raft.Members
@@ -375,6 +376,7 @@
 	before := r.status.members
 	r.status = status{
 		role:    r.core.Role(),
+		term:    r.core.Term(),
 		leader:  r.core.Leader(),
 		members: r.core.Members(),
 	}
