raft, peer: a replacement keeps the majority of the voters before it

The loss of one more disk left no majority for good. Cause: memberships changed by one voter at a time, so that a replacement passed through a group that tolerates less than the one before and the one after. Change: joint consensus for replacements: Members.Outgoing holds the voters before, and elections, commits, reads and the check of the quorum take a majority of both. A replica that joins at the address of a voter marks that one as superseded and becomes a learner; the voter keeps its vote until the learner has caught up. Changes are proposed when a reply makes them possible, not with the next heartbeat. Ruled out (trial, not committed): promote first, then remove. The cases of TestNextMembers expect a replacement in one step where they expected the removal, and check both majorities.

--- a/controller/internal/peer/unary.go
+++ b/controller/internal/peer/unary.go
@@ -84,9 +84,8 @@
 	return reply, nil
 }
 
-// Join implements rpc.Controller: a leader adds the replica as a learner. A member with
-// the same address has lost its disk; it is removed first, and the replica is added when
-// it asks again. Joined is true once the replica is a member.
+// Join implements rpc.Controller: a leader adds the replica as a learner. Joined is true
+// once the replica is a member.
 func (u *Unary) Join(ctx context.Context, request *rpc.JoinRequest) (*rpc.JoinReply, error) {
 	reply := &rpc.JoinReply{
 		Leader: u.member.LeaderAddress(),
@@ -101,12 +100,7 @@
 		reply.Joined = true
 		return reply, nil
 	}
-	change := func(m raft.Members) (raft.Members, error) { return m.WithLearner(id, address) }
-	for _, m := range status.Members.List {
-		if m.Address == address {
-			change = func(present raft.Members) (raft.Members, error) { return present.Without(m.ID) }
-		}
-	}
+	change := func(m raft.Members) (raft.Members, error) { return m.Admit(id, address) }
 	if err := r.ChangeMembers(ctx, change); err != nil {
 		// Another change is under way, or leadership was lost.
 		u.member.log.Info("replica not added to the group yet, it asks again", "replica", id, "address", address, "cause", err)
--- a/controller/internal/replica/leaderless.go
+++ b/controller/internal/replica/leaderless.go
@@ -22,10 +22,10 @@
 	if len(s.Members.List) == 0 {
 		return reasonNoGroup
 	}
-	if self, ok := s.Members.Find(s.ReplicaID); !ok || !self.Voter {
+	if !s.Members.IsVoter(s.ReplicaID) {
 		return reasonNotVoter
 	}
-	if linkedVoters(s, linked) < s.Members.Quorum() {
+	if !s.Members.Majority(func(id uint64) bool { return id == s.ReplicaID || slices.Contains(linked, id) }) {
 		return reasonFewLinks
 	}
 	return reasonFewerVotes
@@ -48,8 +48,14 @@
 	out := make([]string, len(members.List))
 	for i, m := range members.List {
 		kind := "learner"
-		if m.Voter {
+		switch {
+		case m.Voter:
 			kind = "voter"
+		case members.IsVoter(m.ID):
+			kind = "outgoing"
+		}
+		if m.Superseded {
+			kind += " superseded"
 		}
 		out[i] = fmt.Sprintf("%d %s %s", m.ID, m.Address, kind)
 	}
--- a/fleet/membership/power_member_test.go
+++ b/fleet/membership/power_member_test.go
@@ -154,14 +154,9 @@
 	if _, ok := r.status.members.Find(id); ok {
 		return true
 	}
-	change := func(m raft.Members) (raft.Members, error) { return m.WithLearner(id, address) }
-	for _, m := range r.status.members.List {
-		if m.Address == address {
-			change = func(present raft.Members) (raft.Members, error) { return present.Without(m.ID) }
-		}
-	}
 	r.do(func() {
-		if next, err := change(r.core.Members()); err == nil {
+		members := r.core.Members()
+		if next, err := members.Admit(id, address); err == nil {
 			// Refused while another change is under way; the replica asks again.
 			_, _ = r.core.ProposeMembers(h.fleet.now, next)
 		}
--- a/fleet/raft/core.go
+++ b/fleet/raft/core.go
@@ -200,7 +200,7 @@
 		return
 	}
 	c.resetElectionTimer(now)
-	if self, ok := c.members.Find(c.settings.ID); ok && self.Voter {
+	if c.members.IsVoter(c.settings.ID) {
 		c.campaign(now, true)
 	}
 }
@@ -223,20 +223,10 @@
 // quorumActive reports whether a majority of voters, this replica included,
 // answered within the last election timeout.
 func (c *Core) quorumActive(now time.Time) bool {
-	active := 0
-	for _, m := range c.members.List {
-		if !m.Voter {
-			continue
-		}
-		if m.ID == c.settings.ID {
-			active++
-			continue
-		}
-		if p := c.peers[m.ID]; p != nil && now.Sub(p.lastContact) < c.settings.ElectionTimeout {
-			active++
-		}
-	}
-	return active >= c.members.Quorum()
+	return c.members.Majority(func(id uint64) bool {
+		p := c.peers[id]
+		return id == c.settings.ID || (p != nil && now.Sub(p.lastContact) < c.settings.ElectionTimeout)
+	})
 }
 
 func (c *Core) resetElectionTimer(now time.Time) {
--- a/fleet/raft/election.go
+++ b/fleet/raft/election.go
@@ -23,7 +23,7 @@
 		return
 	}
 	for _, m := range c.members.List {
-		if m.Voter && m.ID != c.settings.ID {
+		if c.members.IsVoter(m.ID) && m.ID != c.settings.ID {
 			c.send(Message{
 				Type:    kind,
 				To:      m.ID,
@@ -40,13 +40,7 @@
 // tallyVotes reports whether a majority of voters has granted its vote, and if
 // so moves from the pre-vote to the vote or from the vote to leadership.
 func (c *Core) tallyVotes(now time.Time) bool {
-	granted := 0
-	for _, m := range c.members.List {
-		if m.Voter && c.votes[m.ID] {
-			granted++
-		}
-	}
-	if granted < c.members.Quorum() {
+	if !c.members.Majority(func(id uint64) bool { return c.votes[id] }) {
 		return false
 	}
 	if c.role == PreCandidate {
@@ -169,8 +163,7 @@
 // stepTransfer handles MsgTransfer: it stands for election at once, without a
 // pre-vote, if the sender is the current leader.
 func (c *Core) stepTransfer(now time.Time, m Message) {
-	self, ok := c.members.Find(c.settings.ID)
-	if c.role != Follower || c.leader != m.From || m.Term != c.hardState.Term || !ok || !self.Voter {
+	if c.role != Follower || c.leader != m.From || m.Term != c.hardState.Term || !c.members.IsVoter(c.settings.ID) {
 		return
 	}
 	c.transferRequested = true
--- a/fleet/raft/members.go
+++ b/fleet/raft/members.go
@@ -26,11 +26,59 @@
 // Quorum returns the number of voters that make a majority.
 func (m *Members) Quorum() int { return m.Voters()/2 + 1 }
 
+// IsVoter reports whether decisions ask the member id, as a voter or as one before a
+// replacement that is not complete.
+func (m *Members) IsVoter(id uint64) bool {
+	member, ok := m.Find(id)
+	return ok && (member.Voter || slices.Contains(m.Outgoing, id))
+}
+
+// Majority reports whether has holds for a majority of the voters and, during a
+// replacement, also for one of the voters before it.
+func (m *Members) Majority(has func(id uint64) bool) bool {
+	value := func(id uint64) uint64 {
+		if has(id) {
+			return 1
+		}
+		return 0
+	}
+	return m.MajorityValue(value) > 0
+}
+
+// MajorityValue returns the highest value that a majority of the voters has reached and,
+// during a replacement, also one of the voters before it. It returns 0 without voters.
+func (m *Members) MajorityValue(value func(id uint64) uint64) uint64 {
+	var voters []uint64
+	for _, member := range m.List {
+		if member.Voter {
+			voters = append(voters, member.ID)
+		}
+	}
+	reached := majorityValue(voters, value)
+	if len(m.Outgoing) > 0 {
+		reached = min(reached, majorityValue(m.Outgoing, value))
+	}
+	return reached
+}
+
+func majorityValue(voters []uint64, value func(id uint64) uint64) uint64 {
+	if len(voters) == 0 {
+		return 0
+	}
+	values := make([]uint64, len(voters))
+	for i, id := range voters {
+		values[i] = value(id)
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
+
 // Clone returns a deep copy of the membership.
 func (m *Members) Clone() Members {
 	return Members{
-		List:    slices.Clone(m.List),
-		Removed: slices.Clone(m.Removed),
+		List:     slices.Clone(m.List),
+		Removed:  slices.Clone(m.Removed),
+		Outgoing: slices.Clone(m.Outgoing),
 	}
 }
 
@@ -54,6 +102,34 @@
 	return next, nil
 }
 
+// Admit returns the membership in which the replica id at an address is a member: a
+// learner if it was none. Another voter at the address has lost its disk and is marked as
+// superseded; it stays a voter until the new replica can replace it. Another learner at
+// the address is removed. Admit returns ErrMemberExists if nothing changes and
+// ErrMemberRemoved for an identifier that once belonged to the group.
+func (m *Members) Admit(id uint64, address string) (Members, error) {
+	if slices.Contains(m.Removed, id) {
+		return Members{}, ErrMemberRemoved
+	}
+	if _, ok := m.Find(id); ok {
+		return Members{}, ErrMemberExists
+	}
+	next := m.Clone()
+	for i := range next.List {
+		if next.List[i].Address == address {
+			next.List[i].Superseded = true
+		}
+	}
+	next.List = slices.DeleteFunc(next.List, func(x Member) bool {
+		lost := x.Superseded && !x.Voter
+		if lost {
+			next.Removed = append(next.Removed, x.ID)
+		}
+		return lost
+	})
+	return next.WithLearner(id, address)
+}
+
 // WithVoter returns the membership with the member id as a voter. It returns
 // ErrMemberUnknown if there is no such member.
 func (m *Members) WithVoter(id uint64) (Members, error) {
@@ -67,6 +143,43 @@
 	return Members{}, ErrMemberUnknown
 }
 
+// Replace returns the membership in which the learner successor votes in place of the
+// voter id, once the majorities of the voters before and after agree. Complete ends the
+// replacement. It returns ErrMemberUnknown if one of them is missing.
+func (m *Members) Replace(id, successor uint64) (Members, error) {
+	next := m.Clone()
+	found := 0
+	for i := range next.List {
+		member := &next.List[i]
+		if member.Voter {
+			next.Outgoing = append(next.Outgoing, member.ID)
+		}
+		if member.ID == id || member.ID == successor {
+			member.Voter = member.ID == successor
+			found++
+		}
+	}
+	if found != 2 {
+		return Members{}, ErrMemberUnknown
+	}
+	return next, nil
+}
+
+// Complete returns the membership after a replacement: voters before it that are none
+// after it are removed.
+func (m *Members) Complete() Members {
+	next := m.Clone()
+	next.Outgoing = nil
+	next.List = slices.DeleteFunc(next.List, func(x Member) bool {
+		replaced := !x.Voter && slices.Contains(m.Outgoing, x.ID)
+		if replaced {
+			next.Removed = append(next.Removed, x.ID)
+		}
+		return replaced
+	})
+	return next
+}
+
 // Without returns the membership without the member id, whose identifier can
 // never be added again. It returns ErrMemberUnknown if there is no such member
 // and ErrLastVoter if no voter would be left.
--- a/fleet/raft/message.go
+++ b/fleet/raft/message.go
@@ -54,6 +54,9 @@
 	ID      uint64 `cbor:"1,keyasint" json:"id"`
 	Address string `cbor:"2,keyasint" json:"address"`
 	Voter   bool   `cbor:"3,keyasint" json:"voter"`
+	// Superseded is true once another replica has joined at the address: the member has
+	// lost its disk. A superseded voter counts for majorities until it is removed.
+	Superseded bool `cbor:"4,keyasint,omitempty" json:"superseded,omitempty"`
 }
 
 // Members is the group's membership, in ascending order of ID. Removed holds
@@ -61,6 +64,10 @@
 type Members struct {
 	List    []Member `cbor:"1,keyasint" json:"list"`
 	Removed []uint64 `cbor:"2,keyasint,omitempty" json:"removed"`
+	// Outgoing holds the voters before a replacement that is not complete. While there
+	// are any, each decision takes a majority of them and one of the present voters
+	// (joint consensus, Ongaro and Ousterhout 2014, section 6).
+	Outgoing []uint64 `cbor:"3,keyasint,omitempty" json:"outgoing,omitempty"`
 }
 
 // HardState is what a replica must keep across restarts, apart from its log. Vote is
--- a/fleet/raft/read.go
+++ b/fleet/raft/read.go
@@ -61,16 +61,11 @@
 // acknowledged a heartbeat sent after the read was queued.
 func (c *Core) confirmReads() {
 	for len(c.pendingReads) > 0 {
-		acks := 0
-		for _, m := range c.members.List {
-			if !m.Voter {
-				continue
-			}
-			if p := c.peers[m.ID]; m.ID == c.settings.ID || (p != nil && p.readAck >= c.pendingReads[0].sequence) {
-				acks++
-			}
-		}
-		if acks < c.members.Quorum() {
+		sequence := c.pendingReads[0].sequence
+		if !c.members.Majority(func(id uint64) bool {
+			p := c.peers[id]
+			return id == c.settings.ID || (p != nil && p.readAck >= sequence)
+		}) {
 			return
 		}
 		c.completeRead(c.pendingReads[0], false)
--- a/fleet/raft/reconfigure.go
+++ b/fleet/raft/reconfigure.go
@@ -7,12 +7,12 @@
 const maxLearnerLag = 64
 
 // reconfigure proposes the next membership change that the settings ask for, if
-// any. Only one replica is changed at a time, so that any two majorities of
-// successive memberships have a replica in common.
+// any. Two successive memberships differ in one voter, or are joined by a replacement,
+// so that any two of their majorities have a replica in common.
 func (c *Core) reconfigure(now time.Time) {
 	var next Members
 	var err error
-	if c.settings.MaxVoters == 0 {
+	if c.settings.MaxVoters == 0 && len(c.members.Outgoing) == 0 {
 		next, err = c.nextPromotion()
 	} else {
 		next, err = c.nextMembers(now)
@@ -52,20 +52,24 @@
 }
 
 // nextMembers returns the next membership, or an empty one when nothing is to be
-// changed. It keeps the number of voters odd, as an even number tolerates no
-// more failures than the odd number below it. If the number is even, a learner
-// that is alive and has caught up is promoted. If it is odd, a silent voter is
-// removed when such a learner is ready to replace it; else two ready learners
-// enlarge the group up to MaxVoters.
+// changed. It keeps the number of voters odd, as an even number tolerates no more
+// failures than the odd number below it: a learner that is alive and has caught up makes
+// an even number odd, and two such learners enlarge the group up to MaxVoters. A learner
+// replaces a voter that is silent or superseded, in two steps: joint consensus, then the
+// removal. Neither the loss of the learner nor that of a voter meanwhile costs the
+// majority that the group would have without the change.
 func (c *Core) nextMembers(now time.Time) (Members, error) {
-	var ready, silent []uint64
+	if len(c.members.Outgoing) > 0 {
+		return c.members.Complete(), nil
+	}
+	var ready, lost []uint64
 	voters := 0
 	for _, m := range c.members.List {
-		alive := c.alive(now, m.ID)
+		alive := c.alive(now, m.ID) && !m.Superseded
 		if m.Voter {
 			voters++
 			if !alive {
-				silent = append(silent, m.ID)
+				lost = append(lost, m.ID)
 			}
 		} else if alive && c.caughtUp(m.ID) {
 			ready = append(ready, m.ID)
@@ -76,8 +80,8 @@
 		return Members{}, nil
 	case voters%2 == 0:
 		return c.members.WithVoter(ready[0])
-	case len(silent) > 0:
-		return c.members.Without(silent[0])
+	case len(lost) > 0:
+		return c.members.Replace(lost[0], ready[0])
 	case len(ready) >= 2 && voters+2 <= c.settings.MaxVoters:
 		return c.members.WithVoter(ready[0])
 	}
--- a/fleet/raft/reconfigure_test.go
+++ b/fleet/raft/reconfigure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -60,10 +61,11 @@
 		"an even number of voters gets another":          {4, 1, nil, 5, 0},
 		"MaxVoters is not exceeded":                      {7, 3, nil, 0, 0},
 		"a silent voter stays without a learner":         {3, 0, []uint64{2}, 0, 0},
-		"a silent voter is removed for a learner":        {3, 1, []uint64{2}, 0, 2},
+		"a learner replaces a silent voter":              {3, 1, []uint64{2}, 4, 2},
 		"a silent learner replaces no voter":             {3, 1, []uint64{2, 4}, 0, 0},
-		"two silent voters are removed one at a time":    {5, 1, []uint64{2, 3}, 0, 2},
+		"two silent voters are replaced one at a time":   {5, 1, []uint64{2, 3}, 6, 2},
 		"a learner makes the number of voters odd again": {4, 1, []uint64{3}, 5, 0},
+		"a silent voter of a full group is replaced":     {7, 1, []uint64{2}, 8, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -75,7 +77,7 @@
 				for _, m := range core.members.List {
 					after, ok := next.Find(m.ID)
 					switch {
-					case !ok:
+					case !ok || (m.Voter && !after.Voter):
 						removed = m.ID
 					case after.Voter && !m.Voter:
 						promoted = m.ID
@@ -84,6 +86,11 @@
 			}
 			is.Equal(promoted, c.promoted)
 			is.Equal(removed, c.removed)
+			is.Equal(len(next.Outgoing) > 0, c.removed != 0) // the old voters must agree, too
+			completed := next.Complete()
+			_, ok := completed.Find(c.removed)
+			is.True(!ok)
+			is.Equal(slices.Contains(completed.Removed, c.removed), c.removed != 0)
 		})
 	}
 }
--- a/fleet/raft/replication.go
+++ b/fleet/raft/replication.go
@@ -164,6 +164,9 @@
 		p.match = m.Index
 		p.snapshotRetryAt = time.Time{}
 		c.advanceCommit(now)
+		if c.role == Leader {
+			c.reconfigure(now)
+		}
 	}
 	p.next = max(p.next, p.match+1)
 	c.confirmReads()
@@ -238,29 +241,15 @@
 // advanceCommit commits the entries of the current term that a majority of
 // voters has made durable, and with them all earlier entries.
 func (c *Core) advanceCommit(now time.Time) {
-	var matches []uint64
-	for _, m := range c.members.List {
-		if !m.Voter {
-			continue
-		}
-		if m.ID == c.settings.ID {
-			matches = append(matches, c.persisted)
-		} else if p := c.peers[m.ID]; p != nil {
-			matches = append(matches, p.match)
-		} else {
-			matches = append(matches, 0)
+	index := c.members.MajorityValue(func(id uint64) uint64 {
+		if id == c.settings.ID {
+			return c.persisted
 		}
-	}
-	slices.SortFunc(matches, func(a, b uint64) int {
-		if a > b {
-			return -1
+		if p := c.peers[id]; p != nil {
+			return p.match
 		}
-		return 1
+		return 0
 	})
-	if len(matches) == 0 {
-		return
-	}
-	index := matches[c.members.Quorum()-1]
 	if term, ok := c.log.term(index); !ok || term != c.hardState.Term || index <= c.hardState.Commit {
 		return
 	}
@@ -272,8 +261,7 @@
 // stepDownIfRemoved makes a leader that is no voter in the committed membership
 // a follower.
 func (c *Core) stepDownIfRemoved(now time.Time) {
-	self, ok := c.members.Find(c.settings.ID)
-	if c.membersIndex <= c.hardState.Commit && (!ok || !self.Voter) {
+	if c.membersIndex <= c.hardState.Commit && !c.members.IsVoter(c.settings.ID) {
 		c.broadcast(now) // tells the other members of the commit
 		c.becomeFollower(now, c.hardState.Term, 0)
 	}
@@ -325,13 +313,14 @@
 
 // ProposeMembers appends a new membership and returns its index. It returns
 // ErrChangePending while the previous change, or the first entry of the leader's
-// term, is not committed, since two changes in progress could allow disjoint
-// majorities.
+// term, is not committed, or a replacement is not complete, since two changes in
+// progress could allow disjoint majorities.
 func (c *Core) ProposeMembers(now time.Time, members Members) (uint64, error) {
 	if c.role != Leader {
 		return 0, ErrNotLeader
 	}
-	if term, _ := c.log.term(c.hardState.Commit); c.membersIndex > c.hardState.Commit || term != c.hardState.Term {
+	if term, _ := c.log.term(c.hardState.Commit); c.membersIndex > c.hardState.Commit || term != c.hardState.Term ||
+		(len(c.members.Outgoing) > 0 && len(members.Outgoing) > 0) {
 		return 0, ErrChangePending
 	}
 	m := members.Clone()
