--- a/fleet/membership/power_cases_test.go
+++ b/fleet/membership/power_cases_test.go
@@ -54,6 +54,7 @@
 	p.nextNumber++
 	h.successor = p.addHost("r"+h.name, p.nextNumber, true)
 	h.successor.firstStart = p.started
+	p.changeSeeds()
 	h.successor.start()
 	p.run(p.draw(0, 5*time.Second))
 }
