membership: no group is founded before the seeds have stated what they hold

With first_start still set in its settings, a controller with an empty disk and the lowest seed address that started 0.9 s or more before the others founded a second group and acknowledged changes alone; the older group took its place and the changes were gone. Cause: silence of the seeds counted as their absence, and a controller whose data folder was not read yet stated a first start. Change: the founder is selected when all seeds have answered, or a majority of them for 5 s; a controller with a disk states a first start only once it has found its folder empty; no group is founded while a replica is known. The driver of TestOneFounder tells its cores that their folders are empty, as prepareFolder does.

--- a/fleet/membership/core.go
+++ b/fleet/membership/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -15,6 +14,9 @@
 	// collects peers first. Controllers start within a third of a second of each
 	// other.
 	founderSelectionDelay = 900 * time.Millisecond
+	// silentSeedDelay is how long the founder is not selected while a seed has not
+	// answered: it may know of a group. After that a majority of the seeds is enough.
+	silentSeedDelay = 5 * time.Second
 	// joiningGossipInterval and steadyGossipInterval are the times between
 	// rounds of gossip before and after this controller knows the group and,
 	// if it has a disk, is a member.
@@ -33,7 +35,8 @@
 	OperatorAddress string
 	// HasDisk is true when it can hold a replica.
 	HasDisk bool
-	// FirstStart is true when the whole fleet starts for the first time.
+	// FirstStart is true when the whole fleet starts for the first time. A controller
+	// with a disk states it once it has found its data folder empty.
 	FirstStart bool
 	// ReplicaID is the identifier of its replica; zero means none.
 	ReplicaID uint64
@@ -79,12 +82,14 @@
 type peerRecord struct {
 	Controller
 	lastContact time.Time
+	direct      bool // the peer itself was in contact
 }
 
 // Core is one controller's view of its peers and of the group. It is not safe for
 // concurrent use.
 type Core struct {
 	self      Controller
+	examined  bool // it is known whether the data folder holds a replica
 	seeds     []string
 	peers     map[string]peerRecord
 	expired   map[string]time.Time // when peers were removed for lack of contact
@@ -110,8 +115,12 @@
 // SetSeeds replaces the seed addresses.
 func (c *Core) SetSeeds(seeds []string) { c.seeds = slices.Clone(seeds) }
 
-// SetReplica sets the identifier of this controller's replica; zero means none.
-func (c *Core) SetReplica(id uint64) { c.self.ReplicaID = id }
+// SetReplica sets the identifier of this controller's replica; zero means that the data
+// folder holds none.
+func (c *Core) SetReplica(id uint64) {
+	c.self.ReplicaID = id
+	c.examined = true
+}
 
 // SetGroup updates the group from this controller's own replica. Members with a lower
 // index are ignored, as is a leader of a lower term, and a known leader is kept if g has
@@ -140,7 +149,7 @@
 // Gossip returns the message to send to peers.
 func (c *Core) Gossip() Gossip {
 	g := Gossip{
-		Self:    c.self,
+		Self:    c.stated(),
 		Founder: c.founder,
 		Group:   c.group,
 	}
@@ -150,6 +159,13 @@
 	return g
 }
 
+// stated returns what this controller states of itself.
+func (c *Core) stated() Controller {
+	self := c.self
+	self.FirstStart = self.FirstStart && (c.examined || !self.HasDisk)
+	return self
+}
+
 // Merge updates the view from a peer's gossip, and records contact with its
 // sender. The first founder heard of is kept; of two views of the members, the one with
 // the higher index; of two leaders, the one with the higher term.
@@ -175,7 +191,8 @@
 	if k.Address == "" || k.Address == c.self.Address {
 		return
 	}
-	if _, ok := c.peers[k.Address]; ok && !direct {
+	before, ok := c.peers[k.Address]
+	if ok && !direct {
 		return
 	}
 	if direct {
@@ -186,6 +203,7 @@
 	c.peers[k.Address] = peerRecord{
 		Controller:  k,
 		lastContact: now,
+		direct:      direct || before.direct,
 	}
 }
 
@@ -249,57 +267,13 @@
 	}
 }
 
-// selectFounder selects the founder after founderSelectionDelay, if this controller
-// has the lowest address of the seeds, the fleet starts for the first time and no
-// group is known. The founder is the controller with the lowest address among
-// those that have a disk and start for the first time.
-func (c *Core) selectFounder(now time.Time) {
-	if c.founder != "" || !c.self.FirstStart || len(c.group.Members.List) > 0 ||
-		now.Sub(c.started) < founderSelectionDelay || len(c.seeds) == 0 ||
-		slices.MinFunc(c.seeds, compareAddresses) != c.self.Address {
-		return
-	}
-	var candidates []string
-	if c.self.HasDisk {
-		candidates = append(candidates, c.self.Address)
-	}
-	for _, k := range c.peers {
-		if k.ReplicaID != 0 {
-			return // a group exists
-		}
-		if k.HasDisk && k.FirstStart {
-			candidates = append(candidates, k.Address)
-		}
-	}
-	if len(candidates) > 0 {
-		c.founder = slices.MinFunc(candidates, compareAddresses)
-	}
-}
-
-// compareAddresses orders addresses by IP address and port, and addresses that do
-// not parse as text.
-func compareAddresses(a, b string) int {
-	x, errX := netip.ParseAddrPort(a)
-	y, errY := netip.ParseAddrPort(b)
-	if errX != nil || errY != nil {
-		if a < b {
-			return -1
-		}
-		if a > b {
-			return 1
-		}
-		return 0
-	}
-	return x.Compare(y)
-}
-
 // Next returns the next step of this controller, which must have a disk and no
 // replica.
 func (c *Core) Next() Step {
 	switch {
 	case len(c.group.Members.List) > 0:
 		return Join
-	case c.self.FirstStart && c.founder == c.self.Address:
+	case c.self.FirstStart && c.founder == c.self.Address && !c.replicaKnown():
 		return Bootstrap
 	}
 	return Wait
--- a/fleet/membership/core_test.go
+++ b/fleet/membership/core_test.go
@@ -70,6 +70,7 @@
 	if !c.self.HasDisk || c.self.ReplicaID != 0 {
 		return
 	}
+	c.SetReplica(0) // its data folder is empty
 	switch c.Next() {
 	case Bootstrap:
 		f.founders = append(f.founders, a)
