replica, membership: members are reached where they state to be

Whether hosts change addresses at a loss of power is not known. Cause: links went to the addresses in the membership only, which nobody corrected. Change: links and calls of the leader go to the address that a replica states by gossip, else to the one in the membership; a member at another address asks to join as an empty one does, and the leader corrects the address (Members.Admit).

--- a/controller/internal/peer/gossip.go
+++ b/controller/internal/peer/gossip.go
@@ -127,6 +127,14 @@
 	return p.core.OperatorAddress(address)
 }
 
+// ReplicaAddress returns the address at which the replica id states to be, or "" if that
+// is not known.
+func (p *Peers) ReplicaAddress(id uint64) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.ReplicaAddress(id)
+}
+
 // Addresses returns the addresses of all known controllers, members first.
 func (p *Peers) Addresses() []string {
 	p.mu.Lock()
--- a/controller/internal/peer/member.go
+++ b/controller/internal/peer/member.go
@@ -97,7 +97,7 @@
 	}
 	defer store.Close()
 	id := store.Identity.ReplicaID
-	r, err := replica.New(m.settings, store, restored, m.dialer, m.log)
+	r, err := replica.New(m.settings, store, restored, m.dialer, m.peers, m.log)
 	if err != nil {
 		return err
 	}
@@ -182,34 +182,34 @@
 }
 
 // maintainMembership passes the replica's committed membership to the gossip, and has
-// the replica join the group while it is not a member. It calls removed and returns
-// when the replica was removed from the group.
+// the replica join the group while it is not a member at its address. It calls removed
+// and returns when the replica was removed from the group.
 func (m *Member) maintainMembership(ctx context.Context, r *replica.Replica, id uint64, removed func()) {
 	ticker := time.NewTicker(retryInterval)
 	defer ticker.Stop()
 	m.peers.withCore(func(c *membership.Core) { c.SetReplica(id) })
 	for {
 		status := r.Status()
-		var group membership.Group
-		gone := false
+		leader := r.LeaderAddress()
+		join, gone := false, false
 		m.peers.withCore(func(c *membership.Core) {
 			if len(status.CommittedMembers.List) > 0 {
 				c.SetGroup(membership.Group{
 					Members: status.CommittedMembers,
 					Index:   status.CommittedMembersIndex,
-					Leader:  r.LeaderAddress(),
+					Leader:  leader,
 
 					LeaderTerm: status.Term,
 				})
 			}
-			group = c.Group()
+			join = len(c.Group().Members.List) > 0 && !c.IsMember()
 			gone = c.Removed()
 		})
 		if gone {
 			removed()
 			return
 		}
-		if _, member := group.Members.Find(id); !member && len(group.Members.List) > 0 {
+		if join {
 			m.join(ctx, id)
 		}
 		select {
--- a/controller/internal/peer/unary.go
+++ b/controller/internal/peer/unary.go
@@ -84,8 +84,8 @@
 	return reply, nil
 }
 
-// Join implements rpc.Controller: a leader adds the replica as a learner. Joined is true
-// once the replica is a member.
+// Join implements rpc.Controller: a leader adds the replica as a learner, or corrects the
+// address of a member. Joined is true once the replica is a member at the address.
 func (u *Unary) Join(ctx context.Context, request *rpc.JoinRequest) (*rpc.JoinReply, error) {
 	reply := &rpc.JoinReply{
 		Leader: u.member.LeaderAddress(),
@@ -96,7 +96,7 @@
 	}
 	id, address := request.GetReplicaId(), request.GetAddress()
 	status := r.Status()
-	if _, ok := status.Members.Find(id); ok {
+	if member, ok := status.Members.Find(id); ok && member.Address == address {
 		reply.Joined = true
 		return reply, nil
 	}
--- a/controller/internal/replica/calls.go
+++ b/controller/internal/replica/calls.go
@@ -12,8 +12,17 @@
 
 // LeaderAddress returns the leader's address, or "" if no leader is known.
 func (r *Replica) LeaderAddress() string {
-	s := r.status.Load()
-	m, _ := s.Members.Find(s.Leader)
+	return r.memberAddress(r.status.Load().Leader)
+}
+
+// memberAddress returns the present address of a member, or "" if there is none.
+func (r *Replica) memberAddress(id uint64) string {
+	m, ok := r.status.Load().Members.Find(id)
+	if ok && r.locator != nil {
+		if address := r.locator.ReplicaAddress(id); address != "" {
+			return address
+		}
+	}
 	return m.Address
 }
 
--- a/controller/internal/replica/network.go
+++ b/controller/internal/replica/network.go
@@ -99,7 +99,7 @@
 
 // maintainLink keeps an outbound link to a member open until the context ends.
 func (n *network) maintainLink(ctx context.Context, m raft.Member) {
-	address := func() string { return m.Address }
+	address := func() string { return n.replica.memberAddress(m.ID) }
 	link.Maintain(ctx, n.dialer, address, wire.PathReplica, func(c *link.Conn[wire.Replica]) {
 		if err := n.sendHello(c); err != nil {
 			return
--- a/controller/internal/replica/replica.go
+++ b/controller/internal/replica/replica.go
@@ -50,6 +50,13 @@
 	ErrDiskMismatch = merry.Sentinel("the replica's identifier belongs to another disk; join under a new one")
 )
 
+// Locator knows where replicas state to be.
+type Locator interface {
+	// ReplicaAddress returns the address of a replica whose host has moved since it became
+	// a member, or "" if the address in the membership is to be used.
+	ReplicaAddress(id uint64) string
+}
+
 // Settings configures a Replica.
 type Settings struct {
 	Raft raft.Settings
@@ -135,6 +142,7 @@
 	core     *raft.Core
 	log      *slog.Logger
 	network  *network
+	locator  Locator // nil if members don't move
 
 	proposals chan *proposal
 	members   chan membersProposal
@@ -165,8 +173,9 @@
 }
 
 // New returns a replica that continues from what the store has restored. It does
-// nothing before Run is called. Settings.Raft.ID is taken from the store.
-func New(settings Settings, store *disk.Store, restored raft.Restored, dialer link.Dialer, log *slog.Logger) (*Replica, error) {
+// nothing before Run is called. Settings.Raft.ID is taken from the store. Without a
+// locator, members are reached at the addresses in the membership.
+func New(settings Settings, store *disk.Store, restored raft.Restored, dialer link.Dialer, locator Locator, log *slog.Logger) (*Replica, error) {
 	if settings.SnapshotEvery == 0 {
 		settings.SnapshotEvery = DefaultSnapshotEvery
 	}
@@ -181,6 +190,7 @@
 		store:            store,
 		core:             raft.New(settings.Raft, restored, random, time.Now()),
 		log:              log,
+		locator:          locator,
 		proposals:        make(chan *proposal, queueLength),
 		members:          make(chan membersProposal),
 		reads:            make(chan readRequest, queueLength),
--- a/controller/run.go
+++ b/controller/run.go
@@ -73,7 +73,7 @@
 	r, err := replica.New(replica.Settings{
 		SnapshotEvery:      s.SnapshotEvery,
 		DisableGroupCommit: s.DisableGroupCommit,
-	}, store, restored, dialer, log)
+	}, store, restored, dialer, nil, log)
 	if err != nil {
 		return err
 	}
--- a/fleet/membership/core.go
+++ b/fleet/membership/core.go
@@ -247,8 +247,7 @@
 	if !c.self.HasDisk {
 		return true
 	}
-	_, ok := c.group.Members.Find(c.self.ReplicaID)
-	return ok
+	return c.IsMember()
 }
 
 // expirePeers removes peers without recent contact. It remembers them for twice
@@ -288,13 +287,36 @@
 		out = append(out, c.group.Leader)
 	}
 	for _, m := range c.group.Members.List {
-		if !slices.Contains(out, m.Address) {
-			out = append(out, m.Address)
+		for _, address := range []string{m.Address, c.ReplicaAddress(m.ID)} {
+			if address != "" && !slices.Contains(out, address) {
+				out = append(out, address)
+			}
 		}
 	}
 	return out
 }
 
+// ReplicaAddress returns the address at which the replica id states to be, which differs
+// from that in the membership while its host has moved, or "" if that is not known.
+func (c *Core) ReplicaAddress(id uint64) string {
+	if id == c.self.ReplicaID {
+		return c.self.Address
+	}
+	newest, address := time.Time{}, ""
+	for a, k := range c.peers {
+		if k.ReplicaID == id && k.direct && k.lastContact.After(newest) {
+			newest, address = k.lastContact, a
+		}
+	}
+	return address
+}
+
+// IsMember reports whether this controller's replica is a member at its address.
+func (c *Core) IsMember() bool {
+	m, ok := c.group.Members.Find(c.self.ReplicaID)
+	return ok && m.Address == c.self.Address
+}
+
 // Removed reports whether this controller's replica was removed from the group.
 // It can return only under a new identifier then.
 func (c *Core) Removed() bool {
--- a/fleet/membership/power_loss_test.go
+++ b/fleet/membership/power_loss_test.go
@@ -304,6 +304,9 @@
 			}
 		})
 	}
+	if p.moves {
+		p.drawSeeds() // settings name present addresses; nobody could find the hosts otherwise
+	}
 	p.run(spread)
 	back := p.now
 	acked, version := p.acked, p.version
--- a/fleet/membership/power_member_test.go
+++ b/fleet/membership/power_member_test.go
@@ -112,7 +112,7 @@
 		h.writeFolder(eraseWrites())
 		return
 	}
-	if _, member := group.Members.Find(r.id); !member && len(group.Members.List) > 0 {
+	if len(group.Members.List) > 0 && !h.gossip.IsMember() {
 		r.join(h.gossip.JoinTargets())
 		return
 	}
@@ -151,7 +151,7 @@
 	if r == nil || r.status.role != raft.Leader {
 		return false
 	}
-	if _, ok := r.status.members.Find(id); ok {
+	if m, ok := r.status.members.Find(id); ok && m.Address == address {
 		return true
 	}
 	r.do(func() {
--- a/fleet/membership/power_network_test.go
+++ b/fleet/membership/power_network_test.go
@@ -79,13 +79,13 @@
 	if r.stopped || d.cancelled {
 		return
 	}
-	target := r.host.reachable(d.member.Address)
+	target := r.host.reachable(r.memberAddress(d.member.ID))
 	if target == nil {
 		w.after(r.host.waitOfCall(dialTimeout), d.retry)
 		return
 	}
 	w.after(2*w.latency(), func() {
-		target := r.host.reachable(d.member.Address)
+		target := r.host.reachable(r.memberAddress(d.member.ID))
 		if r.stopped || d.cancelled || target == nil || target.replica == nil || target.replica.id != d.member.ID {
 			d.retry()
 			return
--- a/fleet/membership/power_replica_test.go
+++ b/fleet/membership/power_replica_test.go
@@ -388,6 +388,14 @@
 
 // leaderAddress does what Replica.LeaderAddress does.
 func (r *replica) leaderAddress() string {
-	m, _ := r.status.members.Find(r.status.leader)
+	return r.memberAddress(r.status.leader)
+}
+
+// memberAddress does what Replica.memberAddress does.
+func (r *replica) memberAddress(id uint64) string {
+	m, ok := r.status.members.Find(id)
+	if address := r.host.gossip.ReplicaAddress(id); ok && address != "" {
+		return address
+	}
 	return m.Address
 }
--- a/fleet/raft/members.go
+++ b/fleet/raft/members.go
@@ -102,7 +102,7 @@
 	return next, nil
 }
 
-// Admit returns the membership in which the replica id at an address is a member: a
+// Admit returns the membership in which the replica id is a member at an address: a
 // learner if it was none. Another voter at the address has lost its disk and is marked as
 // superseded; it stays a voter until the new replica can replace it. Another learner at
 // the address is removed. Admit returns ErrMemberExists if nothing changes and
@@ -111,13 +111,18 @@
 	if slices.Contains(m.Removed, id) {
 		return Members{}, ErrMemberRemoved
 	}
-	if _, ok := m.Find(id); ok {
+	present, ok := m.Find(id)
+	if ok && present.Address == address {
 		return Members{}, ErrMemberExists
 	}
 	next := m.Clone()
 	for i := range next.List {
-		if next.List[i].Address == address {
-			next.List[i].Superseded = true
+		member := &next.List[i]
+		if member.ID == id {
+			member.Address = address
+			member.Superseded = false
+		} else if member.Address == address {
+			member.Superseded = true
 		}
 	}
 	next.List = slices.DeleteFunc(next.List, func(x Member) bool {
@@ -127,6 +132,9 @@
 		}
 		return lost
 	})
+	if ok {
+		return next, nil
+	}
 	return next.WithLearner(id, address)
 }
 
