link: a frame that arrives slowly is no silence

Cause: the time of the last arrival was set after a whole frame. Change: each part that arrives counts. Before: TestSlowFrameIsNoSilence failed with ErrHeartbeatTimeout; it passes now.

--- a/fleet/link/conn.go
+++ b/fleet/link/conn.go
@@ -160,10 +160,9 @@
 			continue
 		}
 		data := make([]byte, size)
-		if _, err := io.ReadFull(c.reader, data); err != nil {
+		if err := c.readFull(data); err != nil {
 			return frame, c.fail(err)
 		}
-		c.recordArrival(len(data))
 		if err := cbor.Unmarshal(data, &frame); err != nil {
 			return frame, c.fail(merry.Prepend(err, "decode a link frame"))
 		}
@@ -174,10 +173,9 @@
 
 func (c *Conn[T]) readLength() (int, error) {
 	var header [lengthBytes]byte
-	if _, err := io.ReadFull(c.reader, header[:]); err != nil {
+	if err := c.readFull(header[:]); err != nil {
 		return 0, c.fail(err)
 	}
-	c.recordArrival(lengthBytes)
 	size := binary.BigEndian.Uint32(header[:])
 	if size > MaxFrameBytes {
 		return 0, c.fail(ErrFrameTooLarge)
@@ -185,6 +183,22 @@
 	return int(size), nil
 }
 
+// readFull fills data and records each part that arrives, so that a large frame that
+// takes long is not taken for silence.
+func (c *Conn[T]) readFull(data []byte) error {
+	for filled := 0; filled < len(data); {
+		n, err := c.reader.Read(data[filled:])
+		if n > 0 {
+			c.recordArrival(n)
+			filled += n
+		}
+		if err != nil && filled < len(data) {
+			return err
+		}
+	}
+	return nil
+}
+
 // recordArrival records the time of an arrival and its size.
 func (c *Conn[T]) recordArrival(bytes int) {
 	c.lastRead.Store(int64(time.Since(c.started)))
--- a/fleet/link/link_test.go
+++ b/fleet/link/link_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -83,6 +85,36 @@
 	})
 }
 
+// TestSlowFrameIsNoSilence guards against a link that is closed for silence while a large
+// frame, such as a snapshot, arrives in parts for longer than the heartbeat timeout.
+func TestSlowFrameIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const heartbeat = time.Second
+		x, y := net.Pipe()
+		receiver := newConn[frame](y, bufio.NewReader(y), heartbeat, &Stats{})
+		go func() { _, _ = io.Copy(io.Discard, x) }() // the receiver's heartbeats
+		sent := frame{
+			Text: strings.Repeat("x", 100),
+		}
+		encoded, err := NewFrame(sent)
+		is.NoErr(err)
+		go func() {
+			for part := range slices.Chunk(encoded, 10) {
+				time.Sleep(heartbeat)
+				if _, err := x.Write(part); err != nil {
+					return // the receiver has closed the link
+				}
+			}
+		}()
+		received, err := receiver.Receive()
+		is.NoErr(err)
+		is.Equal(received, sent)
+		receiver.Close()
+		x.Close()
+	})
+}
+
 // TestLinkClosesSlowPeer checks that the link is closed when the peer reads nothing and
 // the queue of outgoing frames is full.
 func TestLinkClosesSlowPeer(t *testing.T) {
