raft, replica: appends are bounded in bytes

An append takes up to 256 entries; with configurations of the largest accepted size nine of them exceed what a link carries, and the message was dropped without a line, so that the follower got nothing until the log was compacted. Change: an append ends after 4 MiB of data, and holds one entry at least; a message that no link carries is logged. Before: TestAppendsAreBoundedInBytes saw appends of 16 MiB; it passes now.

--- a/controller/internal/replica/network.go
+++ b/controller/internal/replica/network.go
@@ -193,10 +193,13 @@
 	if c == nil {
 		return
 	}
-	// A failed send closes the link; the replica that opened it dials again.
-	_ = c.Send(wire.Replica{
+	err := c.Send(wire.Replica{
 		Messages: []raft.Message{m},
 	})
+	// After other errors the link is closed, and the replica that opened it dials again.
+	if errors.Is(err, link.ErrFrameTooLarge) {
+		n.replica.log.Error("message to a replica is too large for a link, not sent", "replica", m.To, "type", m.Type, "cause", err)
+	}
 }
 
 // Handler accepts the links of other replicas.
--- a/fleet/raft/log.go
+++ b/fleet/raft/log.go
@@ -41,6 +41,18 @@
 	return out[:len(out):len(out)]
 }
 
+// withinBytes returns the first entries whose data is within limit, in bytes, and at
+// least one.
+func withinBytes(entries []Entry, limit int) []Entry {
+	size := 0
+	for i, e := range entries {
+		if size += len(e.Data); size > limit && i > 0 {
+			return entries[:i:i]
+		}
+	}
+	return entries
+}
+
 // truncate removes the entries from index on. It copies the rest, since slices
 // of the old entries may still be in use.
 func (l *memoryLog) truncate(index uint64) {
--- a/fleet/raft/replication.go
+++ b/fleet/raft/replication.go
@@ -9,6 +9,10 @@
 // unanswered append is sent again.
 const appendTimeoutHeartbeats = 3
 
+// maxAppendBytes bounds the data of the entries of one append. Links refuse much larger
+// messages, and the loss of a link costs what was in flight.
+const maxAppendBytes = 4 << 20
+
 // Step handles a message from another replica. Messages to other identifiers and
 // messages from removed members are dropped.
 func (c *Core) Step(now time.Time, m Message) {
@@ -215,7 +219,7 @@
 		if !p.probing && !p.retransmitAt.IsZero() {
 			p.next = p.match + 1 // the append in flight was not answered in time
 		}
-		entries = c.log.slice(p.next, c.log.lastIndex(), limit)
+		entries = withinBytes(c.log.slice(p.next, c.log.lastIndex(), limit), maxAppendBytes)
 	}
 	prev := p.next - 1
 	if prev < c.log.snapshotIndex {
