operator: a controller whose replica has not joined redirects

A controller with a new disk refused each call with 503 until it had joined, also while a leader served, and a call that reached it first was lost for the operator; in the record such a replica can't be told from a member. Change: a replica without a membership counts as none for operators, who are redirected to a member. Before: TestEmptyReplicaRedirects got 503 for both calls; now 307.

--- a/controller/internal/operator/configuration.go
+++ b/controller/internal/operator/configuration.go
@@ -39,7 +39,7 @@
 }
 
 // ConfigurationAPI serves operators of a fleet whose configuration is replaced as a
-// whole. A controller without a replica redirects operators to one with a replica.
+// whole. A controller without a replica in the group redirects operators to one with one.
 type ConfigurationAPI struct {
 	replicas       Replicas
 	executor       Executor
@@ -94,10 +94,20 @@
 	unavailable(w, "no controller with a replica is known")
 }
 
+// memberReplica returns this controller's replica, or nil if it has none or one that is
+// not yet a member of the group: that one knows neither the leader nor the configuration.
+func (c *ConfigurationAPI) memberReplica() *replica.Replica {
+	r := c.replicas.Replica()
+	if r == nil || len(r.Status().Members.List) == 0 {
+		return nil
+	}
+	return r
+}
+
 // put proposes the configuration in the body. It answers 200 when the configuration is
 // committed.
 func (c *ConfigurationAPI) put(w *loggedResponse, r *http.Request) {
-	replica := c.replicas.Replica()
+	replica := c.memberReplica()
 	if replica == nil {
 		c.redirectToMember(w, r)
 		return
@@ -176,7 +186,7 @@
 // currentReplica returns this controller's replica once a majority has confirmed that it is
 // current. Otherwise it answers the call and returns nil.
 func (c *ConfigurationAPI) currentReplica(w http.ResponseWriter, r *http.Request) *replica.Replica {
-	own := c.replicas.Replica()
+	own := c.memberReplica()
 	if own == nil {
 		c.redirectToMember(w, r)
 		return nil
