replica: a link to another replica than the dialer expects takes no link's place

A controller lost its disk and came back; 13 s later its new replica was still an empty learner; then all hosts lost power and another disk was lost; of three voters one was left, beside two empty replicas, and each call was refused with 503 in 0 ms for good. Cause: the leader and the others still dial the voter that had the address before, each 0.3 s. The new replica registered such a link as the one to its leader, in place of the leader's own, and when the dialer closed it, having met another replica than it wanted, none was left. The new replica knows no addresses yet and answers on the links of others only, so that its replies were dropped for as long as that link lasted. On the former voter is dialed until the next check of the links, up to 1 s after the learner was added, and a dial that is under way has the same effect; with joint consensus it is dialed until the learner has caught up, so that the fault shows more often. Change: the dialing end names the replica that it expects, and the other end refuses before it registers the link; several links to a replica are kept, and the newest that is open is used, so that links of builds that name none do no harm either; a voter whose disk is lost is dialed only where it states another address.

--- a/controller/internal/replica/calls.go
+++ b/controller/internal/replica/calls.go
@@ -15,6 +15,12 @@
 	return r.memberAddress(r.status.Load().Leader)
 }
 
+// lost reports whether a member can't be reached: another replica has its address, and it
+// states no other one.
+func (r *Replica) lost(m raft.Member) bool {
+	return m.Superseded && (r.locator == nil || r.locator.ReplicaAddress(m.ID) == "")
+}
+
 // memberAddress returns the present address of a member, or "" if there is none.
 func (r *Replica) memberAddress(id uint64) string {
 	m, ok := r.status.Load().Members.Find(id)
--- a/controller/internal/replica/network.go
+++ b/controller/internal/replica/network.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,10 +30,10 @@
 	// mu guards the following maps. Their keys are replica identifiers.
 	mu sync.Mutex
 	// outbound are the links that this replica has opened.
-	outbound map[uint64]*link.Conn[wire.Replica]
+	outbound links
 	// inbound are the links that others have opened. A replica that joins knows no
 	// addresses yet and can only answer on those.
-	inbound map[uint64]*link.Conn[wire.Replica]
+	inbound links
 	// cancels end the goroutines that maintain the outbound links.
 	cancels map[uint64]context.CancelFunc
 	// peerDisks are the disks that peers have named in their hello.
@@ -47,8 +48,8 @@
 	return &network{
 		replica:   r,
 		dialer:    dialer,
-		outbound:  make(map[uint64]*link.Conn[wire.Replica]),
-		inbound:   make(map[uint64]*link.Conn[wire.Replica]),
+		outbound:  make(links),
+		inbound:   make(links),
 		cancels:   make(map[uint64]context.CancelFunc),
 		peerDisks: make(map[uint64]string),
 	}
@@ -82,7 +83,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, m := range status.Members.List {
-		if m.ID == status.ReplicaID || n.cancels[m.ID] != nil {
+		if m.ID == status.ReplicaID || n.cancels[m.ID] != nil || n.replica.lost(m) {
 			continue
 		}
 		peerCtx, cancel := context.WithCancel(ctx)
@@ -90,7 +91,7 @@
 		n.goroutines.Go(func() { n.maintainLink(peerCtx, m) })
 	}
 	for id, cancel := range n.cancels {
-		if _, ok := status.Members.Find(id); !ok {
+		if m, ok := status.Members.Find(id); !ok || n.replica.lost(m) {
 			cancel()
 			delete(n.cancels, id)
 		}
@@ -101,7 +102,7 @@
 func (n *network) maintainLink(ctx context.Context, m raft.Member) {
 	address := func() string { return n.replica.memberAddress(m.ID) }
 	link.Maintain(ctx, n.dialer, address, wire.PathReplica, func(c *link.Conn[wire.Replica]) {
-		if err := n.sendHello(c); err != nil {
+		if err := n.sendHello(c, m.ID); err != nil {
 			return
 		}
 		peer, err := n.receiveHello(c)
@@ -120,12 +121,14 @@
 	})
 }
 
-// sendHello sends this replica's identifiers, as each end of a link does first.
-func (n *network) sendHello(c *link.Conn[wire.Replica]) error {
+// sendHello sends this replica's identifiers, as each end of a link does first. expected
+// is the replica that is to be at the other end; zero means any.
+func (n *network) sendHello(c *link.Conn[wire.Replica], expected uint64) error {
 	id := n.replica.store.Identity
 	return c.Send(wire.Replica{
 		ReplicaID: id.ReplicaID,
 		DiskID:    id.DiskID,
+		Expected:  expected,
 	})
 }
 
@@ -133,6 +136,8 @@
 type peer struct {
 	id     uint64
 	diskID string
+	// expected is the replica that the other end wants to reach; zero means any.
+	expected uint64
 }
 
 // receiveHello reads the identifiers of the replica at the other end. It returns
@@ -149,8 +154,9 @@
 	defer n.mu.Unlock()
 	n.peerDisks[hello.ReplicaID] = hello.DiskID
 	return peer{
-		id:     hello.ReplicaID,
-		diskID: hello.DiskID,
+		id:       hello.ReplicaID,
+		diskID:   hello.DiskID,
+		expected: hello.Expected,
 	}, nil
 }
 
@@ -164,20 +170,31 @@
 	}
 }
 
-// registerLink makes a link the one to a replica in a map of links.
-func (n *network) registerLink(links map[uint64]*link.Conn[wire.Replica], id uint64, c *link.Conn[wire.Replica]) {
+// links are the open links to each replica, by its identifier, the newest last.
+type links map[uint64][]*link.Conn[wire.Replica]
+
+// newest returns the newest link to a replica, or nil.
+func (l links) newest(id uint64) *link.Conn[wire.Replica] {
+	if open := l[id]; len(open) > 0 {
+		return open[len(open)-1]
+	}
+	return nil
+}
+
+// registerLink adds a link to a replica.
+func (n *network) registerLink(l links, id uint64, c *link.Conn[wire.Replica]) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	links[id] = c
+	l[id] = append(l[id], c)
 }
 
-// unregisterLink removes a link from a map of links unless a newer link to the
-// replica has replaced it.
-func (n *network) unregisterLink(links map[uint64]*link.Conn[wire.Replica], id uint64, c *link.Conn[wire.Replica]) {
+// unregisterLink removes a link to a replica; older ones to it stay in use.
+func (n *network) unregisterLink(l links, id uint64, c *link.Conn[wire.Replica]) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if links[id] == c {
-		delete(links, id)
+	l[id] = slices.DeleteFunc(l[id], func(open *link.Conn[wire.Replica]) bool { return open == c })
+	if len(l[id]) == 0 {
+		delete(l, id)
 	}
 }
 
@@ -185,9 +202,9 @@
 // message if there is neither; the core retransmits.
 func (n *network) send(m raft.Message) {
 	n.mu.Lock()
-	c := n.outbound[m.To]
+	c := n.outbound.newest(m.To)
 	if c == nil {
-		c = n.inbound[m.To]
+		c = n.inbound.newest(m.To)
 	}
 	n.mu.Unlock()
 	if c == nil {
@@ -212,8 +229,8 @@
 		if err != nil {
 			return
 		}
-		if r.network.sendHello(c) != nil {
-			return
+		if r.network.sendHello(c, 0) != nil || (peer.expected != 0 && peer.expected != r.store.Identity.ReplicaID) {
+			return // the other end closes a link to a replica that it did not expect
 		}
 		r.network.registerLink(r.network.inbound, peer.id, c)
 		defer r.network.unregisterLink(r.network.inbound, peer.id, c)
--- a/fleet/wire/wire.go
+++ b/fleet/wire/wire.go
@@ -120,6 +120,9 @@
 	// ReplicaID and DiskID identify the sender; they are set in the first frame only.
 	ReplicaID uint64 `cbor:"1,keyasint,omitempty"`
 	DiskID    string `cbor:"2,keyasint,omitempty"`
+	// Expected is the replica that the dialing end wants to reach, in its first frame. The
+	// other end refuses the link if it is another one.
+	Expected uint64 `cbor:"4,keyasint,omitempty"`
 	// Messages are messages of the consensus protocol.
 	Messages []raft.Message `cbor:"3,keyasint,omitempty"`
 }
