soak: regression case of links that cut off a controller with a new disk

The runs of bench/e2e get loopback networks that no test of package soak uses: 11 and 12 were used by both.

--- a/bench/e2e/soak_test.go
+++ b/bench/e2e/soak_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"path/filepath"
 	"testing"
 	"time"
@@ -22,9 +21,9 @@
 }
 
 // Each run has its own loopback network 127.N.0.0/16, with N counting up from
-// firstNetwork+1. These lie below the networks of the soak program, which begin at 40,
-// so that both can run at once.
-const firstNetwork = 10
+// firstNetwork+1. These lie above the networks of the tests of package soak and below
+// those of the soak program, which begin at 40, so that all can run at once.
+const firstNetwork = 30
 
 // TestSoak runs each seed for six seconds under random faults and checks every invariant.
 func TestSoak(t *testing.T) {
@@ -57,28 +56,60 @@
 }
 
 // powerLossNetwork is the second byte of the loopback addresses of TestSoakLosesPower, the
-// first of one for each seed.
+// first of one for each case.
 const powerLossNetwork = 20
 
-// powerLossSeeds are the seeds of TestSoakLosesPower. None has failed.
-var powerLossSeeds = []uint64{1, 2}
+// powerLossCases are the runs of TestSoakLosesPower, by the fault that they guard against.
+var powerLossCases = []struct {
+	name          string
+	seed          uint64
+	faultDuration time.Duration
+	upstreams     int
+	gateways      int
+	diskless      int
+}{
+	{
+		name:          "no known fault",
+		seed:          1,
+		faultDuration: 6 * time.Second,
+		upstreams:     3,
+		gateways:      3,
+		diskless:      2,
+	},
+	{
+		name:          "no known fault, another seed",
+		seed:          2,
+		faultDuration: 6 * time.Second,
+		upstreams:     3,
+		gateways:      3,
+		diskless:      2,
+	},
+	{
+		name:          "links for the former replica cut off a controller with a new disk",
+		seed:          2,
+		faultDuration: 18 * time.Second,
+		upstreams:     4,
+		gateways:      6,
+		diskless:      3,
+	},
+}
 
-// TestSoakLosesPower runs each seed for six seconds under random faults, losses of power of all
-// hosts among them, and ends it with one shortly after a change. Some controllers have no disk.
+// TestSoakLosesPower runs each case under random faults, losses of power of all hosts among
+// them, and ends it with one shortly after a change. Some controllers have no disk.
 func TestSoakLosesPower(t *testing.T) {
-	for i, seed := range powerLossSeeds {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+	for i, c := range powerLossCases {
+		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
 			report, err := soak.Run(context.Background(), soak.Options{
 				Bin:                 binaries,
 				WorkFolder:          filepath.Join(t.TempDir(), "soak"),
-				Seed:                seed,
-				FaultDuration:       6 * time.Second,
+				Seed:                c.seed,
+				FaultDuration:       c.faultDuration,
 				Controllers:         3,
-				DisklessControllers: 2,
-				Gateways:            3,
-				Upstreams:           3,
+				DisklessControllers: c.diskless,
+				Gateways:            c.gateways,
+				Upstreams:           c.upstreams,
 				Callers:             2,
 				Network:             powerLossNetwork + i,
 				PowerLoss:           true,
@@ -89,7 +120,7 @@
 				t.Error(v)
 			}
 			is.True(report.Outcomes["200"] > 0)
-			t.Logf("seed %d: %d attempts, ended %v, faults %s, recovery %v", seed, report.Attempts, report.Outcomes, report.Faults, report.Recovery)
+			t.Logf("seed %d: %d attempts, ended %v, faults %s, recovery %v", c.seed, report.Attempts, report.Outcomes, report.Faults, report.Recovery)
 		})
 	}
 }
