--- a/controller/internal/replica/leaderless.go
+++ b/controller/internal/replica/leaderless.go
@@ -106,6 +106,7 @@
 // logMembers logs a membership that is new or newly committed.
 func (r *Replica) logMembers(before, now *Status) {
 	if now.MembersIndex != before.MembersIndex {
+		r.network.noteMembers()
 		r.log.Info("members changed", "index", now.MembersIndex, "committed", now.MembersIndex <= now.Commit,
 			"members", describeMembers(now.Members), "removed", len(now.Members.Removed))
 	} else if now.MembersIndex > before.Commit && now.MembersIndex <= now.Commit {
--- a/controller/internal/replica/network.go
+++ b/controller/internal/replica/network.go
@@ -39,6 +39,9 @@
 	// peerDisks are the disks that peers have named in their hello.
 	peerDisks map[uint64]string
 
+	// membersChanged has the goroutine of start compare the links with a new membership.
+	membersChanged chan struct{}
+
 	// leaderlessSince is when the goroutine of start first found that no leader is
 	// known; zero while one is. Only that goroutine uses it.
 	leaderlessSince time.Time
@@ -52,6 +55,8 @@
 		inbound:   make(links),
 		cancels:   make(map[uint64]context.CancelFunc),
 		peerDisks: make(map[uint64]string),
+
+		membersChanged: make(chan struct{}, 1),
 	}
 }
 
@@ -63,17 +68,27 @@
 		defer ticker.Stop()
 		for {
 			n.reconcileLinks(ctx)
-			n.bindPeerDisks(ctx)
-			n.watchLeader(time.Now())
 			select {
 			case <-ctx.Done():
 				return
+			case <-n.membersChanged:
 			case <-ticker.C:
+				n.bindPeerDisks(ctx)
+				n.watchLeader(time.Now())
 			}
 		}
 	})
 }
 
+// noteMembers has the links compared with a new membership without waiting for the next
+// check: a replica that joins waits for its first link.
+func (n *network) noteMembers() {
+	select {
+	case n.membersChanged <- struct{}{}:
+	default: // a comparison is due already
+	}
+}
+
 // wait returns when the goroutines of start have ended.
 func (n *network) wait() { n.goroutines.Wait() }
 
