--- a/controller/internal/operator/empty_replica_test.go
+++ b/controller/internal/operator/empty_replica_test.go
@@ -24,6 +24,10 @@
 	leaderOperatorAddress = "10.0.0.1:7401"
 )
 
+// firstConfiguration is a valid configuration.
+const firstConfiguration = `{"version":7,"routes":[{"name":"r","path_prefix":"/","kind":"safe","timeout_ms":800,"service":"s"}],
+	"services":[{"name":"s"}],"limits":{"max_body_bytes":100},"teams":[{"name":"t","keys":["k"],"priority":1}]}`
+
 // joining is a controller whose replica has an empty log, and which knows the leader.
 type joining struct {
 	replica *replica.Replica
@@ -61,8 +65,6 @@
 // and its leader are known.
 func TestEmptyReplicaRedirects(t *testing.T) {
 	is := is.New(t)
-	const body = `{"version":7,"routes":[{"name":"r","path_prefix":"/","kind":"safe","timeout_ms":800,"service":"s"}],
-		"services":[{"name":"s"}],"limits":{"max_body_bytes":100},"teams":[{"name":"t","keys":["k"],"priority":1}]}`
 	folder := t.TempDir()
 	is.NoErr(disk.Init(folder, disk.Identity{
 		ReplicaID: 2,
@@ -92,7 +94,7 @@
 		t.Run(method, func(t *testing.T) {
 			is := is.New(t)
 			w := httptest.NewRecorder()
-			handler.ServeHTTP(w, httptest.NewRequest(method, "/v1/configuration", strings.NewReader(body)))
+			handler.ServeHTTP(w, httptest.NewRequest(method, "/v1/configuration", strings.NewReader(firstConfiguration)))
 			t.Log(w.Code, w.Body.String())
 			is.Equal(w.Code, http.StatusTemporaryRedirect)
 			is.Equal(w.Header().Get("Location"), "http://"+leaderOperatorAddress+"/v1/configuration")
