--- a/controller/internal/operator/empty_replica_test.go
+++ b/controller/internal/operator/empty_replica_test.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -13,53 +14,90 @@
 	"baobabpaddle/fleet/disk"
 	"baobabpaddle/fleet/link"
 	"baobabpaddle/fleet/membership"
+	"baobabpaddle/fleet/raft"
+	"baobabpaddle/fleet/state"
 )
 
-// emptyReplicas has a replica on a new disk that has not joined the group.
-type emptyReplicas struct {
+// Addresses of the leader for the other controllers and for operators.
+const (
+	leaderAddress         = "10.0.0.1:7400"
+	leaderOperatorAddress = "10.0.0.1:7401"
+)
+
+// firstConfiguration is a valid configuration.
+const firstConfiguration = `{"version":7,"routes":[{"name":"r","path_prefix":"/","kind":"safe","timeout_ms":800,"service":"s"}],
+	"services":[{"name":"s"}],"limits":{"max_body_bytes":100},"teams":[{"name":"t","keys":["k"],"priority":1}]}`
+
+// joining is a controller whose replica has an empty log, and which knows the leader.
+type joining struct {
 	replica *replica.Replica
 }
 
-func (e emptyReplicas) Replica() *replica.Replica { return e.replica }
-func (emptyReplicas) LeaderAddress() string       { return "" }
-
-// leaderDirectory knows a leader and its address for operators.
-type leaderDirectory struct {
-	fakeDirectory
+func (j joining) Replica() *replica.Replica { return j.replica }
+func (j joining) LeaderAddress() string     { return leaderAddress }
+func (j joining) OperatorAddress(address string) string {
+	return map[string]string{leaderAddress: leaderOperatorAddress}[address]
 }
+func (j joining) DiskControllers() int { return 3 }
 
-func (leaderDirectory) Group() membership.Group {
+func (j joining) Group() membership.Group {
 	return membership.Group{
-		Leader: "10.0.0.2:7400",
+		Members: raft.Members{
+			List: []raft.Member{
+				{
+					ID:      1,
+					Address: leaderAddress,
+					Voter:   true,
+				},
+			},
+		},
+		Leader: leaderAddress,
 	}
 }
 
-func (leaderDirectory) OperatorAddress(address string) string {
-	return strings.Replace(address, ":7400", ":7401", 1)
+// Execute implements Executor.
+func (j joining) Execute(context.Context, state.Command, uint32) (state.Result, error) {
+	return state.Result{}, replica.ErrNotLeader
 }
 
-// TestEmptyReplicaRedirects guards against operators that are refused by a controller with
-// a new disk although another controller serves them.
+// TestEmptyReplicaRedirects guards against a configuration that can't be read or changed
+// at a controller that joins: its replica has no state yet, and the group with the state
+// and its leader are known.
 func TestEmptyReplicaRedirects(t *testing.T) {
 	is := is.New(t)
 	folder := t.TempDir()
 	is.NoErr(disk.Init(folder, disk.Identity{
-		ReplicaID: 7,
-		DiskID:    "new",
+		ReplicaID: 2,
+		DiskID:    "d",
 	}))
 	store, restored, err := disk.Open(folder)
 	is.NoErr(err)
-	defer store.Close()
 	log := slog.New(slog.DiscardHandler)
-	empty, err := replica.New(replica.Settings{}, store, restored, link.Dialer{}, nil, log)
+	r, err := replica.New(replica.Settings{}, store, restored, link.Dialer{}, nil, log)
 	is.NoErr(err)
-	api := NewConfigurationAPI(emptyReplicas{
-		replica: empty,
-	}, fakeExecutor{}, leaderDirectory{}, 1, log)
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		_ = r.Run(ctx) // ends with the context
+	}()
+	defer func() {
+		cancel()
+		<-stopped
+		store.Close()
+	}()
+	j := joining{
+		replica: r,
+	}
+	handler := NewConfigurationAPI(j, j, j, 1, log).Handler()
 	for _, method := range []string{http.MethodGet, http.MethodPut} {
-		w := httptest.NewRecorder()
-		api.Handler().ServeHTTP(w, httptest.NewRequest(method, "/v1/configuration", strings.NewReader(`{"version":1}`)))
-		is.Equal(w.Code, http.StatusTemporaryRedirect)
-		is.Equal(w.Header().Get("Location"), "http://10.0.0.2:7401/v1/configuration")
+		t.Run(method, func(t *testing.T) {
+			is := is.New(t)
+			w := httptest.NewRecorder()
+			handler.ServeHTTP(w, httptest.NewRequest(method, "/v1/configuration", strings.NewReader(firstConfiguration)))
+			t.Log(w.Code, w.Body.String())
+			is.Equal(w.Code, http.StatusTemporaryRedirect)
+			is.Equal(w.Header().Get("Location"), "http://"+leaderOperatorAddress+"/v1/configuration")
+		})
 	}
 }
