raft: a replacement is safe beside builds that don't know it

In an update of a running fleet with the network split at that moment two leaders committed different entries at one index (TestReplacementBesideTheOlderBuild). All voters of a replacement stay voters now, and the fields Leaving and Joining name the two: an older build takes a majority of four, which meets each majority of a replacement. - A member that moved to another member's old address marked that one as superseded (TestMovedMemberSupersedesNobody).

--- a/controller/internal/replica/leaderless.go
+++ b/controller/internal/replica/leaderless.go
@@ -49,10 +49,12 @@
 	for i, m := range members.List {
 		kind := "learner"
 		switch {
+		case m.Voter && m.ID == members.Leaving:
+			kind = "voter leaving"
+		case m.Voter && m.ID == members.Joining:
+			kind = "voter joining"
 		case m.Voter:
 			kind = "voter"
-		case members.IsVoter(m.ID):
-			kind = "outgoing"
 		}
 		if m.Superseded {
 			kind += " superseded"
--- a/fleet/raft/core.go
+++ b/fleet/raft/core.go
@@ -37,10 +37,11 @@
 	retransmitAt time.Time
 	// snapshotRetryAt is when an unanswered snapshot is sent again.
 	snapshotRetryAt time.Time
-	// staleReplies counts the replies since the snapshot was sent of a peer that has not
-	// installed it.
-	staleReplies int
-	lastContact  time.Time
+	// staleReplies counts the replies of a peer that has not installed the snapshot, from
+	// staleRepliesFrom on.
+	staleReplies     int
+	staleRepliesFrom time.Time
+	lastContact      time.Time
 	// readAck is the highest read sequence that the peer has acknowledged.
 	readAck uint64
 }
--- a/fleet/raft/members.go
+++ b/fleet/raft/members.go
@@ -12,25 +12,27 @@
 	return Member{}, false
 }
 
-// Voters returns the number of voting members.
-func (m *Members) Voters() int {
-	n := 0
+// Voters returns the number of voting members, without one that is being replaced.
+func (m *Members) Voters() int { return len(m.voters(m.Leaving)) }
+
+// voters returns the voting members without one of them.
+func (m *Members) voters(without uint64) []uint64 {
+	var out []uint64
 	for _, member := range m.List {
-		if member.Voter {
-			n++
+		if member.Voter && member.ID != without {
+			out = append(out, member.ID)
 		}
 	}
-	return n
+	return out
 }
 
 // Quorum returns the number of voters that make a majority.
 func (m *Members) Quorum() int { return m.Voters()/2 + 1 }
 
-// IsVoter reports whether decisions ask the member id, as a voter or as one before a
-// replacement that is not complete.
+// IsVoter reports whether decisions ask the member id.
 func (m *Members) IsVoter(id uint64) bool {
 	member, ok := m.Find(id)
-	return ok && (member.Voter || slices.Contains(m.Outgoing, id))
+	return ok && member.Voter
 }
 
 // Majority reports whether has holds for a majority of the voters and, during a
@@ -48,15 +50,9 @@
 // MajorityValue returns the highest value that a majority of the voters has reached and,
 // during a replacement, also one of the voters before it. It returns 0 without voters.
 func (m *Members) MajorityValue(value func(id uint64) uint64) uint64 {
-	var voters []uint64
-	for _, member := range m.List {
-		if member.Voter {
-			voters = append(voters, member.ID)
-		}
-	}
-	reached := majorityValue(voters, value)
-	if len(m.Outgoing) > 0 {
-		reached = min(reached, majorityValue(m.Outgoing, value))
+	reached := majorityValue(m.voters(m.Leaving), value)
+	if m.Leaving != 0 {
+		reached = min(reached, majorityValue(m.voters(m.Joining), value))
 	}
 	return reached
 }
@@ -76,9 +72,10 @@
 // Clone returns a deep copy of the membership.
 func (m *Members) Clone() Members {
 	return Members{
-		List:     slices.Clone(m.List),
-		Removed:  slices.Clone(m.Removed),
-		Outgoing: slices.Clone(m.Outgoing),
+		List:    slices.Clone(m.List),
+		Removed: slices.Clone(m.Removed),
+		Leaving: m.Leaving,
+		Joining: m.Joining,
 	}
 }
 
@@ -103,37 +100,33 @@
 }
 
 // Admit returns the membership in which the replica id is a member at an address: a
-// learner if it was none. Another voter at the address has lost its disk and is marked as
-// superseded; it stays a voter until the new replica can replace it. Another learner at
-// the address is removed. Admit returns ErrMemberExists if nothing changes and
-// ErrMemberRemoved for an identifier that once belonged to the group.
+// learner if it was none. Another voter at the address of a new replica has lost its disk
+// and is marked as superseded; it stays a voter until the new replica can replace it.
+// Another learner there is removed. A member that has moved supersedes nobody, since the
+// member at its new address may have moved, too. Admit returns ErrMemberExists if nothing
+// changes and ErrMemberRemoved for an identifier that once belonged to the group.
 func (m *Members) Admit(id uint64, address string) (Members, error) {
 	if slices.Contains(m.Removed, id) {
 		return Members{}, ErrMemberRemoved
 	}
-	present, ok := m.Find(id)
-	if ok && present.Address == address {
-		return Members{}, ErrMemberExists
-	}
 	next := m.Clone()
-	for i := range next.List {
-		member := &next.List[i]
-		if member.ID == id {
-			member.Address = address
-			member.Superseded = false
-		} else if member.Address == address {
-			member.Superseded = true
+	if i := slices.IndexFunc(next.List, func(x Member) bool { return x.ID == id }); i >= 0 {
+		if next.List[i].Address == address {
+			return Members{}, ErrMemberExists
 		}
+		next.List[i].Address = address
+		next.List[i].Superseded = false
+		return next, nil
 	}
 	next.List = slices.DeleteFunc(next.List, func(x Member) bool {
-		lost := x.Superseded && !x.Voter
+		lost := x.Address == address && !x.Voter
 		if lost {
 			next.Removed = append(next.Removed, x.ID)
 		}
 		return lost
 	})
-	if ok {
-		return next, nil
+	for i := range next.List {
+		next.List[i].Superseded = next.List[i].Superseded || next.List[i].Address == address
 	}
 	return next.WithLearner(id, address)
 }
@@ -151,41 +144,28 @@
 	return Members{}, ErrMemberUnknown
 }
 
-// Replace returns the membership in which the learner successor votes in place of the
-// voter id, once the majorities of the voters before and after agree. Complete ends the
-// replacement. It returns ErrMemberUnknown if one of them is missing.
+// Replace returns the membership in which the learner successor replaces the voter id,
+// which still votes. Complete ends the replacement. It returns ErrMemberUnknown if one of
+// them is missing.
 func (m *Members) Replace(id, successor uint64) (Members, error) {
-	next := m.Clone()
-	found := 0
-	for i := range next.List {
-		member := &next.List[i]
-		if member.Voter {
-			next.Outgoing = append(next.Outgoing, member.ID)
-		}
-		if member.ID == id || member.ID == successor {
-			member.Voter = member.ID == successor
-			found++
-		}
-	}
-	if found != 2 {
+	if !m.IsVoter(id) {
 		return Members{}, ErrMemberUnknown
 	}
+	next, err := m.WithVoter(successor)
+	if err != nil {
+		return Members{}, err
+	}
+	next.Leaving = id
+	next.Joining = successor
 	return next, nil
 }
 
-// Complete returns the membership after a replacement: voters before it that are none
-// after it are removed.
-func (m *Members) Complete() Members {
+// Complete returns the membership after a replacement, without the voter that leaves.
+func (m *Members) Complete() (Members, error) {
 	next := m.Clone()
-	next.Outgoing = nil
-	next.List = slices.DeleteFunc(next.List, func(x Member) bool {
-		replaced := !x.Voter && slices.Contains(m.Outgoing, x.ID)
-		if replaced {
-			next.Removed = append(next.Removed, x.ID)
-		}
-		return replaced
-	})
-	return next
+	next.Leaving = 0
+	next.Joining = 0
+	return next.Without(m.Leaving)
 }
 
 // Without returns the membership without the member id, whose identifier can
--- a/fleet/raft/message.go
+++ b/fleet/raft/message.go
@@ -64,10 +64,13 @@
 type Members struct {
 	List    []Member `cbor:"1,keyasint" json:"list"`
 	Removed []uint64 `cbor:"2,keyasint,omitempty" json:"removed"`
-	// Outgoing holds the voters before a replacement that is not complete. While there
-	// are any, each decision takes a majority of them and one of the present voters
-	// (joint consensus, Ongaro and Ousterhout 2014, section 6).
-	Outgoing []uint64 `cbor:"3,keyasint,omitempty" json:"outgoing,omitempty"`
+	// Leaving and Joining are the voters of a replacement that is not complete: Joining
+	// votes in place of Leaving after it. Until then each decision takes a majority of the
+	// voters without Joining and one of those without Leaving (joint consensus, Ongaro and
+	// Ousterhout 2014, section 6). A build that does not know the fields takes a majority
+	// of all voters, which has a voter in common with each of these.
+	Leaving uint64 `cbor:"3,keyasint,omitempty" json:"leaving,omitempty"`
+	Joining uint64 `cbor:"4,keyasint,omitempty" json:"joining,omitempty"`
 }
 
 // HardState is what a replica must keep across restarts, apart from its log. Vote is
--- a/fleet/raft/reconfigure.go
+++ b/fleet/raft/reconfigure.go
@@ -12,7 +12,7 @@
 func (c *Core) reconfigure(now time.Time) {
 	var next Members
 	var err error
-	if c.settings.MaxVoters == 0 && len(c.members.Outgoing) == 0 {
+	if c.settings.MaxVoters == 0 && c.members.Leaving == 0 {
 		next, err = c.nextPromotion()
 	} else {
 		next, err = c.nextMembers(now)
@@ -59,8 +59,8 @@
 // removal. Neither the loss of the learner nor that of a voter meanwhile costs the
 // majority that the group would have without the change.
 func (c *Core) nextMembers(now time.Time) (Members, error) {
-	if len(c.members.Outgoing) > 0 {
-		return c.members.Complete(), nil
+	if c.members.Leaving != 0 {
+		return c.members.Complete()
 	}
 	var ready, lost []uint64
 	voters := 0
--- a/fleet/raft/replication.go
+++ b/fleet/raft/replication.go
@@ -151,7 +151,7 @@
 	}
 	p.lastContact = now
 	p.retransmitAt = time.Time{}
-	c.countStaleReply(p, m)
+	c.countStaleReply(now, p, m)
 	if m.Reject {
 		p.probing = true
 		p.next = max(p.match+1, min(m.Hint+1, c.log.lastIndex()+1))
@@ -166,7 +166,9 @@
 	p.probing = false
 	if m.Index > p.match {
 		p.match = m.Index
-		p.snapshotRetryAt = time.Time{}
+		if m.Index >= c.log.snapshotIndex {
+			p.snapshotRetryAt = time.Time{}
+		}
 		c.advanceCommit(now)
 		if c.role == Leader {
 			c.reconfigure(now)
@@ -324,7 +326,7 @@
 		return 0, ErrNotLeader
 	}
 	if term, _ := c.log.term(c.hardState.Commit); c.membersIndex > c.hardState.Commit || term != c.hardState.Term ||
-		(len(c.members.Outgoing) > 0 && len(members.Outgoing) > 0) {
+		(c.members.Leaving != 0 && members.Leaving != 0) {
 		return 0, ErrChangePending
 	}
 	m := members.Clone()
--- a/fleet/raft/snapshot.go
+++ b/fleet/raft/snapshot.go
@@ -8,8 +8,12 @@
 
 // maxStaleReplies is the number of replies after which a snapshot counts as lost: a
 // peer handles messages in the order in which they were sent, so it answers the
-// heartbeats after a snapshot only once it has installed it.
-const maxStaleReplies = 3
+// heartbeats after a snapshot only once it has installed it. Replies that come within
+// staleReplyHeartbeats intervals of the snapshot may answer earlier messages.
+const (
+	maxStaleReplies      = 3
+	staleReplyHeartbeats = 3
+)
 
 // sendSnapshot sends a peer the snapshot, unless one is in flight.
 func (c *Core) sendSnapshot(now time.Time, to uint64, p *peerProgress) {
@@ -18,6 +22,7 @@
 	}
 	p.snapshotRetryAt = now.Add(snapshotTimeoutHeartbeats * c.settings.HeartbeatInterval)
 	p.staleReplies = 0
+	p.staleRepliesFrom = now.Add(staleReplyHeartbeats * c.settings.HeartbeatInterval)
 	c.send(Message{
 		Type: MsgSnapshot,
 		To:   to,
@@ -31,8 +36,8 @@
 
 // countStaleReply counts a reply that shows that the peer has not installed the
 // snapshot in flight, and makes that snapshot due again after maxStaleReplies.
-func (c *Core) countStaleReply(p *peerProgress, m Message) {
-	if p.snapshotRetryAt.IsZero() || max(m.Index, m.Hint) >= c.log.snapshotIndex {
+func (c *Core) countStaleReply(now time.Time, p *peerProgress, m Message) {
+	if p.snapshotRetryAt.IsZero() || now.Before(p.staleRepliesFrom) || max(m.Index, m.Hint) >= c.log.snapshotIndex {
 		return
 	}
 	if p.staleReplies++; p.staleReplies >= maxStaleReplies {
