--- a/fleet/disk/log.go
+++ b/fleet/disk/log.go
@@ -26,6 +26,9 @@
 		return err
 	}
 	restored.Entries = afterSnapshot(entries, restored.Snapshot)
+	if len(entries) > 0 && entries[0].Index > restored.Snapshot.Index+1 {
+		return merry.Prependf(ErrDamaged, "the log begins with entry %d, the snapshot ends with entry %d", entries[0].Index, restored.Snapshot.Index)
+	}
 	if len(entries) > 0 && len(restored.Entries) == 0 {
 		if validBytes, err = s.replaceLog(restored.HardState, nil); err != nil {
 			return err
@@ -88,7 +91,7 @@
 		if r.HardState != nil {
 			restored.HardState = *r.HardState
 		}
-		if entries, err = mergeEntries(entries, r.Entries); err != nil {
+		if entries, err = mergeEntries(entries, r.Entries, restored.Snapshot.Index); err != nil {
 			return 0, nil, merry.Prependf(err, "log at byte %d", offset)
 		}
 		offset += size
@@ -98,13 +101,16 @@
 
 // mergeEntries appends added to entries. An added entry whose index is present
 // replaces that entry and discards those after it, as Raft does when a new leader
-// overwrites a follower's uncommitted entries.
-func mergeEntries(entries, added []raft.Entry) ([]raft.Entry, error) {
+// overwrites a follower's uncommitted entries. The entry after the snapshot may follow
+// older ones with a gap: builds that kept the log of an interrupted install wrote it so.
+func mergeEntries(entries, added []raft.Entry, snapshotIndex uint64) ([]raft.Entry, error) {
 	for _, e := range added {
 		if len(entries) > 0 {
 			first := entries[0].Index
 			next := entries[len(entries)-1].Index + 1
 			switch {
+			case e.Index > next && e.Index == snapshotIndex+1:
+				entries = entries[:0] // the snapshot covers them
 			case e.Index > next:
 				return nil, merry.Prependf(ErrDamaged, "entry %d follows entry %d", e.Index, next-1)
 			case e.Index < first:
