raft, replica: replicas of two groups don't exchange messages

A controller that had founded a second group joined the first with its log, whose entries have the same indexes and terms; it counted as having caught up, and a confirmed read at it gave a configuration that the group never accepted. Change: a group is identified by one of its first members, in its memberships, and links between replicas of two groups are refused and logged. Groups of before have no identifier until they are founded anew, and are not checked. Gossip still compares the indexes of two groups (open).

--- a/controller/internal/replica/network.go
+++ b/controller/internal/replica/network.go
@@ -121,7 +121,7 @@
 			return
 		}
 		peer, err := n.receiveHello(c)
-		if err != nil && !errors.Is(err, ErrDiskMismatch) {
+		if err != nil && !errors.Is(err, ErrDiskMismatch) && !errors.Is(err, errOtherGroup) {
 			return
 		}
 		if err != nil || peer.id != m.ID {
@@ -144,6 +144,7 @@
 		ReplicaID: id.ReplicaID,
 		DiskID:    id.DiskID,
 		Expected:  expected,
+		Group:     n.replica.Status().Members.Group,
 	})
 }
 
@@ -156,7 +157,8 @@
 }
 
 // receiveHello reads the identifiers of the replica at the other end. It returns
-// ErrDiskMismatch if the identifier is bound to another disk.
+// ErrDiskMismatch if the identifier is bound to another disk and errOtherGroup if the
+// replica belongs to another group.
 func (n *network) receiveHello(c *link.Conn[wire.Replica]) (peer, error) {
 	hello, err := c.Receive()
 	if err != nil {
@@ -165,6 +167,9 @@
 	if err := n.replica.CheckPeerDisk(hello.ReplicaID, hello.DiskID); err != nil {
 		return peer{}, err
 	}
+	if own := n.replica.Status().Members.Group; own != 0 && hello.Group != 0 && own != hello.Group {
+		return peer{}, errOtherGroup
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.peerDisks[hello.ReplicaID] = hello.DiskID
@@ -185,6 +190,9 @@
 	}
 }
 
+// errOtherGroup reports a replica whose log belongs to another group.
+var errOtherGroup = merry.Sentinel("the replica belongs to another group")
+
 // links are the open links to each replica, by its identifier, the newest last.
 type links map[uint64][]*link.Conn[wire.Replica]
 
@@ -238,7 +246,7 @@
 func (r *Replica) Handler(ctx context.Context, dialer link.Dialer) http.Handler {
 	return link.Handler(ctx, dialer, func(_ credential.Peer, c *link.Conn[wire.Replica]) {
 		peer, err := r.network.receiveHello(c)
-		if errors.Is(err, ErrDiskMismatch) {
+		if errors.Is(err, ErrDiskMismatch) || errors.Is(err, errOtherGroup) {
 			r.log.Warn("inbound link of a replica refused", "cause", err)
 		}
 		if err != nil {
--- a/fleet/disk/store.go
+++ b/fleet/disk/store.go
@@ -159,6 +159,11 @@
 			snapshot.Index = 1
 			snapshot.Term = 1
 			snapshot.Members = s.Identity.Members.Clone()
+			for _, m := range snapshot.Members.List {
+				if snapshot.Members.Group == 0 || m.ID < snapshot.Members.Group {
+					snapshot.Members.Group = m.ID
+				}
+			}
 		}
 		return nil
 	}
--- a/fleet/raft/members.go
+++ b/fleet/raft/members.go
@@ -76,6 +76,7 @@
 		Removed: slices.Clone(m.Removed),
 		Leaving: m.Leaving,
 		Joining: m.Joining,
+		Group:   m.Group,
 	}
 }
 
--- a/fleet/raft/message.go
+++ b/fleet/raft/message.go
@@ -71,6 +71,9 @@
 	// of all voters, which has a voter in common with each of these.
 	Leaving uint64 `cbor:"3,keyasint,omitempty" json:"leaving,omitempty"`
 	Joining uint64 `cbor:"4,keyasint,omitempty" json:"joining,omitempty"`
+	// Group identifies the group by one of its first members; zero means that it is not
+	// known. Indexes and terms of different groups have nothing in common.
+	Group uint64 `cbor:"5,keyasint,omitempty" json:"group,omitempty"`
 }
 
 // HardState is what a replica must keep across restarts, apart from its log. Vote is
--- a/fleet/wire/wire.go
+++ b/fleet/wire/wire.go
@@ -123,6 +123,8 @@
 	// Expected is the replica that the dialing end wants to reach, in its first frame. The
 	// other end refuses the link if it is another one.
 	Expected uint64 `cbor:"4,keyasint,omitempty"`
+	// Group identifies the sender's group in the first frame; zero means that it knows none.
+	Group uint64 `cbor:"5,keyasint,omitempty"`
 	// Messages are messages of the consensus protocol.
 	Messages []raft.Message `cbor:"3,keyasint,omitempty"`
 }
