membership: a group is founded by as many empty disks as it needs voters

Seeds without a disk counted as answers although they know of no group, so that a controller that had lost its disk founded a second group after 0.9 s where no seed has a disk. Change: the founder is selected once as many controllers with an empty disk are known as the group needs voters for what it tolerates, or after 10 s.

--- a/controller/internal/peer/gossip.go
+++ b/controller/internal/peer/gossip.go
@@ -33,13 +33,13 @@
 }
 
 // NewPeers returns the peers of a controller that starts now and knows no others but
-// the seeds, which are addresses.
-func NewPeers(self membership.Controller, seeds []string, c *credential.Credential, log *slog.Logger) *Peers {
+// the seeds, which are addresses. The group is to tolerate the loss of toleratedHosts.
+func NewPeers(self membership.Controller, seeds []string, toleratedHosts int, c *credential.Credential, log *slog.Logger) *Peers {
 	return &Peers{
 		credential: c,
 		http:       c.Client(),
 		log:        log,
-		core:       membership.New(self, seeds, time.Now()),
+		core:       membership.New(self, seeds, 2*toleratedHosts+1, time.Now()),
 		inFlight:   make(map[string]bool),
 	}
 }
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -136,7 +136,7 @@
 		OperatorAddress: s.OperatorListen,
 		HasDisk:         s.DataFolder != "",
 		FirstStart:      s.FirstStart,
-	}, s.seedAddresses(), cred, log)
+	}, s.seedAddresses(), s.ToleratedHosts, cred, log)
 	p.member = peer.NewMember(s.DataFolder, replica.Settings{
 		Raft: raft.Settings{
 			ElectionTimeout:   serveElectionTimeout,
--- a/fleet/membership/core.go
+++ b/fleet/membership/core.go
@@ -17,6 +17,9 @@
 	// silentSeedDelay is how long the founder is not selected while a seed has not
 	// answered: it may know of a group. After that a majority of the seeds is enough.
 	silentSeedDelay = 5 * time.Second
+	// fewDisksDelay is how long the founder is not selected while fewer controllers with an
+	// empty disk are known than the group needs: the others may hold replicas.
+	fewDisksDelay = 10 * time.Second
 	// joiningGossipInterval and steadyGossipInterval are the times between
 	// rounds of gossip before and after this controller knows the group and,
 	// if it has a disk, is a member.
@@ -91,6 +94,7 @@
 	self      Controller
 	examined  bool // it is known whether the data folder holds a replica
 	seeds     []string
+	voters    int // of a group that tolerates what it should
 	peers     map[string]peerRecord
 	expired   map[string]time.Time // when peers were removed for lack of contact
 	founder   string
@@ -100,11 +104,13 @@
 }
 
 // New returns the core of a controller that starts now. seeds are the addresses
-// of controllers, and may include its own.
-func New(self Controller, seeds []string, now time.Time) *Core {
+// of controllers, and may include its own. voters is the number of voters that a group
+// needs for what it tolerates.
+func New(self Controller, seeds []string, voters int, now time.Time) *Core {
 	return &Core{
 		self:      self,
 		seeds:     slices.Clone(seeds),
+		voters:    voters,
 		peers:     make(map[string]peerRecord),
 		expired:   make(map[string]time.Time),
 		started:   now,
--- a/fleet/membership/core_test.go
+++ b/fleet/membership/core_test.go
@@ -22,6 +22,9 @@
 	founders   []string
 }
 
+// groupVoters is the number of voters that the groups need.
+const groupVoters = 3
+
 func address(n int) string { return fmt.Sprintf("10.0.0.%d:7400", n) }
 
 // newFleet returns a fleet in which the first controllers, withoutDisk in number, have no
@@ -40,7 +43,7 @@
 			Address:    address(n),
 			HasDisk:    n > withoutDisk,
 			FirstStart: firstStart,
-		}, seeds, f.startTimes[address(n)])
+		}, seeds, groupVoters, f.startTimes[address(n)])
 	}
 	return f
 }
@@ -137,7 +140,7 @@
 		Address:    address(1),
 		HasDisk:    true,
 		FirstStart: true,
-	}, []string{address(1), address(2), address(3)}, f.startTimes[address(1)])
+	}, []string{address(1), address(2), address(3)}, groupVoters, f.startTimes[address(1)])
 	f.cores[address(2)].founder = address(2)
 	f.run(8 * time.Second)
 	is.Equal(f.founders, []string{address(2)})
@@ -152,7 +155,7 @@
 		Address:   address(1),
 		HasDisk:   true,
 		ReplicaID: 7,
-	}, nil, epoch)
+	}, nil, groupVoters, epoch)
 	is.True(!c.Removed())
 	c.Merge(epoch, Gossip{
 		Self: Controller{
--- a/fleet/membership/founder.go
+++ b/fleet/membership/founder.go
@@ -26,8 +26,9 @@
 
 // selectFounder selects the founder after founderSelectionDelay, if this controller
 // has the lowest address of the seeds, the fleet starts for the first time, the seeds
-// have answered and no group is known. The founder is the controller with the lowest
-// address among those that have a disk and start for the first time.
+// have answered, enough controllers have an empty disk and no group is known. The founder
+// is the controller with the lowest address among those that have a disk and start for
+// the first time.
 func (c *Core) selectFounder(now time.Time) {
 	if c.founder != "" || !c.self.FirstStart || len(c.group.Members.List) > 0 ||
 		now.Sub(c.started) < founderSelectionDelay || len(c.seeds) == 0 ||
@@ -43,6 +44,9 @@
 			candidates = append(candidates, k.Address)
 		}
 	}
+	if len(candidates) < c.voters && now.Sub(c.started) < fewDisksDelay {
+		return
+	}
 	if len(candidates) > 0 {
 		c.founder = slices.MinFunc(candidates, compareAddresses)
 	}
--- a/fleet/membership/power_model_test.go
+++ b/fleet/membership/power_model_test.go
@@ -202,7 +202,7 @@
 		OperatorAddress: h.address,
 		HasDisk:         h.hasDisk,
 		FirstStart:      h.firstStart,
-	}, w.seeds, w.now)
+	}, w.seeds, 2*w.tolerated+1, w.now)
 	w.tracef("%s starts at %s", h.name, h.address)
 	h.gossipRound()
 	if h.hasDisk {
