soak: a relay passes nothing on after data that it dropped

At the end of the fault 'one_way' the relay forwarded again before it closed the connections that lacked data, so that bytes were missing within a TCP connection, which no network does. Such connections fall silent now until they are closed. The check is unchanged.

--- a/bench/internal/soak/relay.go
+++ b/bench/internal/soak/relay.go
@@ -233,6 +233,11 @@
 	}
 	time.Sleep(duration)
 	r.mu.Lock()
+	if r.oneWay {
+		for c := range r.connections {
+			c.silent = true // data sent from now on would follow a gap
+		}
+	}
 	r.delay, r.oneWay, r.silent = 0, false, false
 	r.mu.Unlock()
 	if kind == "one_way" {
