--- a/controller/internal/peer/gossip.go
+++ b/controller/internal/peer/gossip.go
@@ -223,10 +223,9 @@
 		Peers:   decodeControllers(r.GetKnown()),
 		Founder: r.GetFounder(),
 		Group: membership.Group{
-			Members: members,
-			Index:   r.GetMembersIndex(),
-			Leader:  r.GetLeader(),
-
+			Members:    members,
+			Index:      r.GetMembersIndex(),
+			Leader:     r.GetLeader(),
 			LeaderTerm: r.GetLeaderTerm(),
 		},
 	}, nil
--- a/controller/internal/peer/member.go
+++ b/controller/internal/peer/member.go
@@ -195,10 +195,9 @@
 		m.peers.withCore(func(c *membership.Core) {
 			if len(status.CommittedMembers.List) > 0 {
 				c.SetGroup(membership.Group{
-					Members: status.CommittedMembers,
-					Index:   status.CommittedMembersIndex,
-					Leader:  leader,
-
+					Members:    status.CommittedMembers,
+					Index:      status.CommittedMembersIndex,
+					Leader:     leader,
 					LeaderTerm: status.Term,
 				})
 			}
--- a/controller/internal/replica/network.go
+++ b/controller/internal/replica/network.go
@@ -49,13 +49,12 @@
 
 func newNetwork(r *Replica, dialer link.Dialer) *network {
 	return &network{
-		replica:   r,
-		dialer:    dialer,
-		outbound:  make(links),
-		inbound:   make(links),
-		cancels:   make(map[uint64]context.CancelFunc),
-		peerDisks: make(map[uint64]string),
-
+		replica:        r,
+		dialer:         dialer,
+		outbound:       make(links),
+		inbound:        make(links),
+		cancels:        make(map[uint64]context.CancelFunc),
+		peerDisks:      make(map[uint64]string),
 		membersChanged: make(chan struct{}, 1),
 	}
 }
--- a/fleet/membership/power_member_test.go
+++ b/fleet/membership/power_member_test.go
@@ -96,10 +96,9 @@
 	}
 	if len(r.status.committed.List) > 0 {
 		h.gossip.SetGroup(membership.Group{
-			Members: r.status.committed,
-			Index:   r.status.committedIndex,
-			Leader:  r.leaderAddress(),
-
+			Members:    r.status.committed,
+			Index:      r.status.committedIndex,
+			Leader:     r.leaderAddress(),
 			LeaderTerm: r.status.term,
 		})
 	}
--- a/fleet/membership/power_network_test.go
+++ b/fleet/membership/power_network_test.go
@@ -72,6 +72,15 @@
 	}
 }
 
+// memberAddress does what Replica.memberAddress does.
+func (r *replica) memberAddress(id uint64) string {
+	m, ok := r.status.members.Find(id)
+	if address := r.host.gossip.ReplicaAddress(id); ok && address != "" {
+		return address
+	}
+	return m.Address
+}
+
 // attempt dials the member's address once and again after a pause.
 func (d *dial) attempt() {
 	r := d.replica
--- a/fleet/membership/power_replica_test.go
+++ b/fleet/membership/power_replica_test.go
@@ -390,12 +390,3 @@
 func (r *replica) leaderAddress() string {
 	return r.memberAddress(r.status.leader)
 }
-
-// memberAddress does what Replica.memberAddress does.
-func (r *replica) memberAddress(id uint64) string {
-	m, ok := r.status.members.Find(id)
-	if address := r.host.gossip.ReplicaAddress(id); ok && address != "" {
-		return address
-	}
-	return m.Address
-}
