serve, upstream: nothing is sent for a caller that has closed its connection

A gateway learns that a caller has left only when net/http's background read returns the end of the connection.

Before a request is written, and again once a new connection has been opened for it, the client now asks Request.Abandoned. The gateway answers from the request's context and a non-blocking peek at the caller's socket (MSG_PEEK|MSG_DONTWAIT through RawConn.Control, since RawConn.Read would wait for the background read). An end or an error of the connection counts as left, as in net/http, so a half-closed connection is treated as before; unread bytes, such as a pipelined request, are left in place.

--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -303,6 +303,9 @@
 		ID:       x.call.ID,
 		Deadline: x.deadline,
 		Stall:    x.stallTimeouts(time.Now()),
+		Abandoned: func() bool {
+			return x.handler.conns.CallerLeft(x.r.Context())
+		},
 	}
 }
 
@@ -319,7 +322,7 @@
 func (x *exchange) sendFailed(id uint64, address string, err error) outcome {
 	h := x.handler
 	switch {
-	case x.r.Context().Err() != nil:
+	case errors.Is(err, upstream.ErrAbandoned), x.r.Context().Err() != nil:
 		h.scheduler.ReportOutcome(id, dispatch.CallerLeft)
 		return callerLeft
 	case errors.Is(err, syscall.ECONNREFUSED):
--- a/gateway/internal/serve/tracked_conn.go
+++ b/gateway/internal/serve/tracked_conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -38,6 +39,33 @@
 	return nil
 }
 
+// closedByCaller reports whether the caller closed or reset the connection and all bytes
+// that it sent before were read. It does not wait and reads nothing.
+func (t *trackedConn) closedByCaller() bool {
+	socket, ok := t.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	access, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	// Read would wait for the pending read of the server, Control does not.
+	if err := access.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if err != nil {
+			closed = err != syscall.EAGAIN && err != syscall.EINTR
+			return
+		}
+		closed = n == 0
+	}); err != nil {
+		return false
+	}
+	return closed
+}
+
 // busy reports whether a request is arriving or being answered.
 func (t *trackedConn) busy() bool { return t.answering.Load() || t.headSince.Load() != 0 }
 
@@ -77,7 +105,7 @@
 // connKey is the context key of the connection of a request.
 type connKey struct{}
 
-// ConnContext returns ctx with conn, for HeadRead. It is meant for
+// ConnContext returns ctx with conn, for HeadRead and CallerLeft. It is meant for
 // http.Server.ConnContext.
 func (c *Conns) ConnContext(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, conn)
@@ -89,3 +117,14 @@
 		t.headRead()
 	}
 }
+
+// CallerLeft reports whether the request with context ctx has ended or its caller has
+// closed the connection. The context ends only once a read of the server has returned the
+// end of the connection, which takes long in a process that is short of processor time.
+func (c *Conns) CallerLeft(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	t, ok := ctx.Value(connKey{}).(*trackedConn)
+	return ok && t.closedByCaller()
+}
--- a/gateway/internal/upstream/client.go
+++ b/gateway/internal/upstream/client.go
@@ -43,6 +43,8 @@
 
 // Errors of a Client.
 var (
+	// ErrAbandoned means that Request.Abandoned returned true; nothing was sent.
+	ErrAbandoned = merry.Sentinel("the request was abandoned before it was sent")
 	// ErrUnreachable means that no connection could be made; nothing was sent.
 	ErrUnreachable = merry.Sentinel("the upstream can't be reached")
 	// ErrBroken means that the exchange failed after the request was sent, at least in
@@ -74,8 +76,15 @@
 	// Deadline is when the exchange ends, including the reading of the body.
 	Deadline time.Time
 	Stall    StallPolicy
+	// Abandoned reports whether nobody waits for the answer any longer. It is called before
+	// the request is written; if it returns true, the request is not sent. Nil means that the
+	// request is never abandoned.
+	Abandoned func() bool
 }
 
+// abandoned reports whether nobody waits for the answer any longer.
+func (r Request) abandoned() bool { return r.Abandoned != nil && r.Abandoned() }
+
 // Limits bounds what an upstream may send up to the end of an answer's head.
 type Limits struct {
 	// HeadBytes is the maximum size of an answer's head, including interim answers.
--- a/gateway/internal/upstream/exchange.go
+++ b/gateway/internal/upstream/exchange.go
@@ -40,9 +40,12 @@
 
 // Send sends a request to an address and returns the answer once its head has arrived. The
 // end of the context aborts the exchange, including the reading of the body. The error wraps
-// ErrUnreachable if nothing was sent; after ErrStalled or ErrBroken the upstream may have
-// received the request.
+// ErrUnreachable or ErrAbandoned if nothing was sent; after ErrStalled or ErrBroken the
+// upstream may have received the request.
 func (c *Client) Send(ctx context.Context, address string, r Request) (*Answer, error) {
+	if r.abandoned() {
+		return nil, ErrAbandoned
+	}
 	var k *conn
 	if r.ID != "" { // otherwise only a connection of its own shows which answer is the request's
 		k = c.takeIdle(address)
@@ -52,6 +55,10 @@
 		if k, err = c.dial(ctx, address); err != nil {
 			return nil, err
 		}
+		if r.abandoned() {
+			k.Close()
+			return nil, ErrAbandoned
+		}
 	}
 	if err := k.SetDeadline(r.Deadline); err != nil {
 		k.Close()
