serve: an answer that its caller left is never ended as whole

Found while a known red was mended: a caller that has closed only its sending side counts as one that has left, and the handler then ended as after a whole answer: an empty 200 before the answer had begun, or a cut stream with its last chunk. Change: such a request ends as one whose answer broke off; a caller that has closed both sides sees no difference. Before: TestHalfClosedCallerGetsNoWholeAnswer failed in both cases; it passes now, with all tests of the gateway.

--- a/gateway/internal/serve/caller_left_test.go
+++ b/gateway/internal/serve/caller_left_test.go
@@ -215,3 +215,57 @@
 	}
 	is.Equal(g.requestCount(), 2)
 }
+
+// TestHalfClosedCallerGetsNoWholeAnswer guards against an empty or cut answer that is framed
+// as whole: a caller that has closed its sending side only may still read.
+func TestHalfClosedCallerGetsNoWholeAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		path     string
+		scripts  []script
+		leavesAt int64
+	}{
+		"before the answer": {
+			path:     "/look/",
+			scripts:  []script{reply("200 OK", stamp, "yes")},
+			leavesAt: 1,
+		},
+		"in a stream": {
+			path:     "/chat/",
+			scripts:  []script{eventStream(event1, false), eventStream(event2, true)},
+			leavesAt: 2,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := newTestGateway(t, c.scripts...)
+			var caller *net.TCPConn
+			g.handler.scheduler = &placeHook{
+				fakeScheduler: g.scheduler,
+				onPlace: func(n int64) {
+					if n == c.leavesAt {
+						_ = caller.CloseWrite()
+						time.Sleep(propagationDelay)
+					}
+				},
+			}
+			server := httptest.NewUnstartedServer(g.handler)
+			server.Listener = g.handler.Conns().Listener(server.Listener)
+			server.Config.ConnState = g.handler.Conns().ConnState
+			server.Config.ConnContext = g.handler.Conns().ConnContext
+			server.Start()
+			defer server.Close()
+			conn, err := net.Dial("tcp", server.Listener.Addr().String())
+			is.NoErr(err)
+			defer conn.Close()
+			caller = conn.(*net.TCPConn)
+			_, err = io.WriteString(caller, rawRequest(c.path, "id-1"))
+			is.NoErr(err)
+			response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+			if err != nil {
+				return // no answer
+			}
+			_, err = io.ReadAll(response.Body)
+			is.True(err != nil)
+		})
+	}
+}
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -72,9 +72,14 @@
 		result = x.attempt(d)
 		x.tried = append(x.tried, d.Upstream)
 		switch result {
-		case answered, callerLeft:
+		case answered:
 			x.recordEnd(result)
 			return
+		case callerLeft:
+			x.recordEnd(result)
+			// A caller that has closed only its sending side would take a normal end for
+			// that of the answer.
+			panic(http.ErrAbortHandler)
 		case failed, truncated:
 			x.mayHaveRun = true
 		}
