trace, platform: software versions of upstreams and take-ups of streams in logs

The list reader keeps the version, gateways log it for each attempt, and the leader logs the versions of each service. Older peers skip the new fields: the hash of the list stays as they compute it, a second one covers the versions. No decision changes.

--- a/controller/internal/gateway/handler.go
+++ b/controller/internal/gateway/handler.go
@@ -33,6 +33,7 @@
 			name:          frame.Hello.Name,
 			version:       frame.Hello.Version,
 			upstreamsHash: frame.Hello.UpstreamsHash,
+			versionsHash:  frame.Hello.VersionsHash,
 		}
 		h.post(ctx, event{
 			opened: c,
--- a/controller/internal/gateway/hub.go
+++ b/controller/internal/gateway/hub.go
@@ -44,9 +44,15 @@
 	name          string
 	version       uint64 // of the configuration that it was sent last
 	upstreamsHash uint64 // of the list of upstreams that it had when it connected
+	versionsHash  uint64 // of the software versions in that list
 	traffic       traffic
 }
 
+// hasUpstreams reports whether the gateway had the list with the hashes when it connected.
+func (c *conn) hasUpstreams(upstreams, versions uint64) bool {
+	return c.upstreamsHash == upstreams && c.versionsHash == versions
+}
+
 // event is an input of the control goroutine. One of its fields is set, except
 // that from and frame go together.
 type event struct {
@@ -252,7 +258,7 @@
 		frame.RateLimits = append(frame.RateLimits, dispatch.NewRateLimitReport(upstream, perSecond))
 	}
 	frame.RateLimitsComplete = true
-	if h.upstreams != nil && wire.UpstreamsHash(h.upstreams) != c.upstreamsHash {
+	if h.upstreams != nil && !c.hasUpstreams(wire.UpstreamsHash(h.upstreams), wire.VersionsHash(h.upstreams)) {
 		frame.Upstreams = wire.FullUpdate(h.upstreams)
 	}
 	h.send(c, frame)
--- a/controller/internal/gateway/upstreams.go
+++ b/controller/internal/gateway/upstreams.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"baobabpaddle/fleet/dispatch"
+	"baobabpaddle/fleet/trace"
 	"baobabpaddle/fleet/wire"
 )
 
@@ -52,11 +53,11 @@
 	if change == nil {
 		return
 	}
-	h.log.Info("list of upstreams changed", "upstreams", len(next), "before", len(h.upstreams))
+	h.log.Info("list of upstreams changed", "upstreams", len(next), "before", len(h.upstreams), trace.KeyVersions, trace.Versions(next))
 	h.upstreams = next
 	h.scheduler.SetUpstreams(slices.Collect(maps.Values(next)))
 	for _, c := range h.conns {
-		if first && c.upstreamsHash == change.Hash {
+		if first && c.hasUpstreams(change.Hash, change.VersionsHash) {
 			continue // it has this list from an earlier leader
 		}
 		h.send(c, wire.Serve{
--- a/fleet/call/call.go
+++ b/fleet/call/call.go
@@ -15,6 +15,11 @@
 	Key string
 	// Timeout is how long the caller waits for the answer; zero if it does not say.
 	Timeout time.Duration
+	// Resumes is the identifier of the caller's attempt that brought the first event of the
+	// stream that this request resumes; empty for a new request.
+	Resumes string
+	// LastEvent is the identifier of the last event that the caller has of that stream.
+	LastEvent string
 	// Prompt describes the prompt; it is empty for requests that are not for a model.
 	Prompt dispatch.Prompt
 }
--- a/fleet/dispatch/request.go
+++ b/fleet/dispatch/request.go
@@ -232,4 +232,7 @@
 	Slots int `cbor:"5,keyasint"`
 	// Draining upstreams get no new requests.
 	Draining bool `cbor:"6,keyasint,omitempty"`
+	// Version is the version of the upstream's software, or empty if a controller that
+	// doesn't read it sent the entry.
+	Version string `cbor:"7,keyasint,omitempty"`
 }
--- a/fleet/trace/step.go
+++ b/fleet/trace/step.go
@@ -48,6 +48,9 @@
 	KeyTook            = "took_ms"
 	KeyFirstByte       = "first_ms"
 	KeyLastEvent       = "last_event"
+	KeyResumes         = "resumes"
+	KeyResumesAfter    = "resumes_after"
+	KeyUpstreamVersion = "upstream_version"
 	KeyTries           = "tries"
 	KeyCount           = "requests"
 	KeyLeaving         = "leaving"
@@ -77,6 +80,10 @@
 	// CallerWait is how long the caller waits for its answer.
 	CallerWait time.Duration
 	Prompt     dispatch.Prompt
+	// Resumes and ResumesAfter are the attempt that began the stream that the request resumes
+	// and the last event that the caller has of it.
+	Resumes      string
+	ResumesAfter string
 }
 
 func (info RequestInfo) attrs(dst []slog.Attr) []slog.Attr {
@@ -90,9 +97,16 @@
 	if info.Prompt.Tokens > 0 {
 		dst = append(dst, slog.Int(KeyPromptTokens, info.Prompt.Tokens), slog.Int(KeyMaxOutput, info.Prompt.MaxOutput))
 	}
-	return dst
+	dst = appendText(dst, KeyResumes, bounded(info.Resumes))
+	return appendText(dst, KeyResumesAfter, bounded(info.ResumesAfter))
 }
 
+// maxLoggedText is the maximum number of bytes of a caller's text in one field.
+const maxLoggedText = 64
+
+// bounded returns the beginning of a text that a caller chose.
+func bounded(text string) string { return text[:min(len(text), maxLoggedText)] }
+
 // appendInputs appends the inputs of the placement decision.
 func appendInputs(dst []slog.Attr, in dispatch.Inputs) []slog.Attr {
 	dst = appendText(dst, KeyDecidedBy, in.DecidedBy)
@@ -152,7 +166,9 @@
 // Tried records the result of sending a request to an upstream.
 type Tried struct {
 	Upstream string
-	Outcome  string
+	// Version is the version of the upstream's software.
+	Version string
+	Outcome string
 	// Status is the status of the upstream's answer; zero if there was none.
 	Status int
 	Cause  string
@@ -174,6 +190,7 @@
 
 func (s Tried) attrs(dst []slog.Attr) []slog.Attr {
 	dst = append(dst, slog.String(KeyUpstream, s.Upstream), slog.String(KeyOutcome, s.Outcome), millis(KeyTook, s.Took))
+	dst = appendText(dst, KeyUpstreamVersion, s.Version)
 	if s.Status > 0 {
 		dst = append(dst, slog.Int(KeyStatus, s.Status))
 	}
--- a/fleet/wire/serve.go
+++ b/fleet/wire/serve.go
@@ -81,6 +81,8 @@
 	Version uint64 `cbor:"3,keyasint"`
 	// UpstreamsHash is the UpstreamsHash of the gateway's list of upstreams.
 	UpstreamsHash uint64 `cbor:"4,keyasint,omitempty"`
+	// VersionsHash is the VersionsHash of that list.
+	VersionsHash uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Welcome is the controller's answer to a ServeHello. It reports whether the
--- a/fleet/wire/upstreams.go
+++ b/fleet/wire/upstreams.go
@@ -19,6 +19,9 @@
 	Removed []string `cbor:"3,keyasint,omitempty"`
 	// Hash is the UpstreamsHash of the list after the update.
 	Hash uint64 `cbor:"4,keyasint,omitempty"`
+	// VersionsHash is the VersionsHash of the list after the update, or zero from a
+	// controller that doesn't know the versions.
+	VersionsHash uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // UpstreamsHash returns a hash of a list. It is the sum of a hash for each upstream
@@ -40,6 +43,24 @@
 	return sum
 }
 
+// VersionsHash returns a hash of the software versions in a list. It is zero if the list
+// states none. UpstreamsHash leaves them out, since older peers compute it without them.
+func VersionsHash(list map[string]dispatch.Upstream) uint64 {
+	var sum uint64
+	for _, u := range list {
+		if u.Version == "" {
+			continue
+		}
+		h := fnv.New64a()
+		for _, part := range []string{u.ID, u.Version} {
+			h.Write([]byte(part))
+			h.Write([]byte{0})
+		}
+		sum += h.Sum64()
+	}
+	return sum
+}
+
 // IndexByID returns the upstreams keyed by identifier.
 func IndexByID(list []dispatch.Upstream) map[string]dispatch.Upstream {
 	out := make(map[string]dispatch.Upstream, len(list))
@@ -52,7 +73,8 @@
 // DiffUpstreams returns the change from one list to another, or nil if they are equal.
 func DiffUpstreams(from, to map[string]dispatch.Upstream) *UpstreamsUpdate {
 	d := &UpstreamsUpdate{
-		Hash: UpstreamsHash(to),
+		Hash:         UpstreamsHash(to),
+		VersionsHash: VersionsHash(to),
 	}
 	for id, u := range to {
 		if old, ok := from[id]; !ok || old != u {
@@ -73,14 +95,15 @@
 // FullUpdate returns an update that replaces the receiver's list.
 func FullUpdate(list map[string]dispatch.Upstream) *UpstreamsUpdate {
 	return &UpstreamsUpdate{
-		Full:    true,
-		Changed: slices.Collect(maps.Values(list)),
-		Hash:    UpstreamsHash(list),
+		Full:         true,
+		Changed:      slices.Collect(maps.Values(list)),
+		Hash:         UpstreamsHash(list),
+		VersionsHash: VersionsHash(list),
 	}
 }
 
-// Apply returns the list after the update, and whether its hash is the sender's. If it
-// is not, the receiver needs a full update. Apply does not modify list.
+// Apply returns the list after the update, and whether its hashes are the sender's. If they
+// are not, the receiver needs a full update. Apply does not modify list.
 func (d *UpstreamsUpdate) Apply(list map[string]dispatch.Upstream) (map[string]dispatch.Upstream, bool) {
 	var next map[string]dispatch.Upstream
 	if d.Full {
@@ -97,5 +120,5 @@
 	for _, id := range d.Removed {
 		delete(next, id)
 	}
-	return next, UpstreamsHash(next) == d.Hash
+	return next, UpstreamsHash(next) == d.Hash && (d.VersionsHash == 0 || VersionsHash(next) == d.VersionsHash)
 }
--- a/gateway/internal/controller/find.go
+++ b/gateway/internal/controller/find.go
@@ -139,6 +139,7 @@
 			Zone:          l.settings.Zone,
 			Version:       version,
 			UpstreamsHash: wire.UpstreamsHash(view.Upstreams),
+			VersionsHash:  wire.VersionsHash(view.Upstreams),
 		},
 	}) != nil {
 		c.Close()
--- a/gateway/internal/serve/forward.go
+++ b/gateway/internal/serve/forward.go
@@ -207,6 +207,9 @@
 				if first {
 					first = false
 					x.handler.scheduler.ReportStarted(id)
+					if x.headSent || x.resumesCallersStream() {
+						x.handler.counters.countResumption(!x.headSent)
+					}
 				}
 				if string(x.events.lastID) != before {
 					answer.MarkProgress(time.Now()) // comments alone are no progress
@@ -233,6 +236,12 @@
 	}
 }
 
+// resumesCallersStream reports whether the request resumes a stream of an earlier request of
+// the caller.
+func (x *exchange) resumesCallersStream() bool {
+	return x.call.Resumes != "" || x.call.LastEvent != ""
+}
+
 // tokensReceived returns the approximate number of tokens in the stream so far. Event
 // identifiers count from one; if the last one is not a number, the result is zero.
 func (x *exchange) tokensReceived() int {
--- a/gateway/internal/serve/request_log.go
+++ b/gateway/internal/serve/request_log.go
@@ -28,6 +28,9 @@
 		Service: x.service,
 		Team:    x.team,
 		Prompt:  x.call.Prompt,
+
+		Resumes:      x.call.Resumes,
+		ResumesAfter: x.call.LastEvent,
 	}
 	if x.route != nil {
 		info.Route = x.route.Name
@@ -96,6 +99,16 @@
 	c.metrics.Counter(`gateway_requests_total{outcome="` + outcome + `"}`).Inc()
 }
 
+// countResumption counts a stream that was resumed, by a caller's further request or by the
+// gateway within one answer.
+func (c *counters) countResumption(byCaller bool) {
+	by := "gateway"
+	if byCaller {
+		by = "caller"
+	}
+	c.metrics.Counter(`gateway_streams_resumed_total{by="` + by + `"}`).Inc()
+}
+
 // registerRetriesLeft registers the gauge of the retries that a service has left.
 func (c *counters) registerRetriesLeft(service string, h *Handler) {
 	c.metrics.Gauge(`gateway_retries_left{service="`+service+`"}`, func() float64 {
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -263,6 +263,7 @@
 		h.scheduler.ReportOutcome(d.ID, dispatch.Unreachable)
 		return notRun
 	}
+	step.Version = destination.Version
 	answer, err := h.client.Send(x.r.Context(), destination.Address, x.upstreamRequest(destination.ID))
 	if err != nil {
 		step.Cause = err.Error()
