soak, serve: streams joined from two software versions (known red)

Callers of the soak take up broken streams, upstreams have software versions, and the check knows which version each event is of.

--- a/bench/internal/soak/caller.go
+++ b/bench/internal/soak/caller.go
@@ -50,9 +50,11 @@
 	defer c.disconnect()
 	for ctx.Err() == nil {
 		pause := time.Duration(c.random.IntN(30)) * time.Millisecond
-		if retry := c.send(c.newAttempt()); retry > 0 {
+		a := c.newAttempt()
+		if retry := c.send(a); retry > 0 {
 			pause = min(retry, time.Second)
 		}
+		c.resume(ctx, a)
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
@@ -60,6 +62,43 @@
 	}
 }
 
+// maxResumptions is the number of further requests with which a caller resumes a stream.
+const maxResumptions = 3
+
+// resume resumes a stream that broke off after its first event, at any gateway, until it is
+// complete, the caller's time is over or maxResumptions requests were sent. It returns the last
+// request, or nil if nothing was to be resumed.
+func (c *caller) resume(ctx context.Context, origin *Attempt) *Attempt {
+	home := c.gateway
+	defer func() {
+		c.disconnect()
+		c.gateway = home
+	}()
+	var last *Attempt
+	after := lastEvent(origin)
+	for range maxResumptions {
+		broken := cmp.Or(last, origin)
+		if origin.Kind != Chat || broken.Status == http.StatusOK && broken.Complete || after == 0 || time.Since(origin.Sent) > callerTimeout {
+			return last
+		}
+		select {
+		case <-ctx.Done():
+			return last
+		case <-time.After(time.Duration(20+c.random.IntN(500)) * time.Millisecond):
+		}
+		c.disconnect()
+		c.gateway = c.random.IntN(len(c.soak.fleet.gateways))
+		next := c.newAttempt()
+		next.Kind, next.Key, next.Events, next.Origin, next.After = Chat, origin.Key, origin.Events, origin, after
+		c.send(next)
+		if !next.Sent.IsZero() {
+			after = lastEvent(next)
+		}
+		last = next
+	}
+	return last
+}
+
 // newAttempt returns a random request.
 func (c *caller) newAttempt() *Attempt {
 	c.sent++
@@ -126,6 +165,9 @@
 		Key:     a.Key,
 		Timeout: callerTimeout,
 	}
+	if a.Origin != nil {
+		callHeader.Resumes, callHeader.LastEvent = a.Origin.ID, strconv.Itoa(a.After)
+	}
 	if a.Kind.stream() {
 		callHeader.Prompt = dispatch.Prompt{
 			Segments: []dispatch.PromptSegment{{
--- a/bench/internal/soak/check.go
+++ b/bench/internal/soak/check.go
@@ -93,7 +93,11 @@
 // gaps, come from one execution or from executions that each resume where the previous one
 // ended, and are all there if the stream ended as complete.
 func (l *Ledger) checkStream(a *Attempt) {
-	next, execution := 1, -1
+	next, execution := a.After+1, -1
+	version := ""
+	if a.Origin != nil {
+		version = originVersion(a.Origin)
+	}
 	for event := range strings.SplitSeq(a.Body, "\n\n") {
 		if event == "" {
 			continue
@@ -110,11 +114,18 @@
 			return
 		}
 		if index != execution {
-			if execution >= 0 && (a.Kind != Chat || index >= len(a.Executions) || a.Executions[index].ResumedAfter != number-1) {
+			if (execution >= 0 || a.After > 0) && (a.Kind != Chat || index >= len(a.Executions) || a.Executions[index].ResumedAfter != number-1) {
 				l.addViolation("order", "%s %s: event %d is of execution %d after execution %d", a.Kind, a.ID, number, index, execution)
 				return
 			}
 			execution = index
+			if index < len(a.Executions) {
+				if version != "" && a.Executions[index].Version != version {
+					l.addViolation("version", "%s %s: event %d is of version %s after version %s", a.Kind, a.ID, number, a.Executions[index].Version, version)
+					return
+				}
+				version = a.Executions[index].Version
+			}
 		}
 		next++
 	}
@@ -123,6 +134,29 @@
 	}
 }
 
+// originVersion returns the software version of the upstream whose event begins an attempt's
+// answer, or "" if there is no event.
+func originVersion(a *Attempt) string {
+	first, _, _ := strings.Cut(a.Body, "\n\n")
+	if _, index, ok := parseEvent(first, a.ID); ok && index < len(a.Executions) {
+		return a.Executions[index].Version
+	}
+	return ""
+}
+
+// lastEvent returns the number of the last whole event in an attempt's answer, or the last one
+// that the caller had before.
+func lastEvent(a *Attempt) int {
+	last := a.After
+	events := strings.Split(a.Body, "\n\n")
+	for _, event := range events[:len(events)-1] {
+		if number, _, ok := parseEvent(event, a.ID); ok {
+			last = number
+		}
+	}
+	return last
+}
+
 // parseEvent parses "id: NUMBER\ndata: ATTEMPT EXECUTION" and reports whether the event is
 // one of the attempt id.
 func parseEvent(event, id string) (number, execution int, ok bool) {
--- a/bench/internal/soak/check_test.go
+++ b/bench/internal/soak/check_test.go
@@ -53,6 +53,7 @@
 		"draft of two executions":         {Draft, []*Execution{{}, {Complete: true}}, 200, true, event("1", "0") + event("2", "1"), noFaults{}, "order"},
 		"resumed":                         {Chat, []*Execution{{}, {ResumedAfter: 1, Complete: true}}, 200, true, event("1", "0") + event("2", "1"), noFaults{}, ""},
 		"resumed after another event":     {Chat, []*Execution{{}, {ResumedAfter: 0, Complete: true}}, 200, true, event("1", "0") + event("2", "1"), noFaults{}, "order"},
+		"resumed at another version":      {Chat, []*Execution{{Version: "v1"}, {Version: "v2", ResumedAfter: 1, Complete: true}}, 200, true, event("1", "0") + event("2", "1"), noFaults{}, "version"},
 		"a failure's body follows":        {Chat, []*Execution{{}, {ResumedAfter: 1}}, 200, true, event("1", "0") + "no\n\n", noFaults{}, "order"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -86,6 +87,58 @@
 	}
 }
 
+// TestCheckCoversTakeUps checks that a stream which its caller takes up goes on after the last
+// event that the caller has, at the software version that began it.
+func TestCheckCoversTakeUps(t *testing.T) {
+	for name, c := range map[string]struct {
+		version string
+		first   string // the first event of the second answer
+		rule    string
+	}{
+		"same version":    {"v1", "2", ""},
+		"another version": {"v2", "2", "version"},
+		"an event twice":  {"v1", "1", "order"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := NewLedger()
+			origin := &Attempt{
+				ID:     "a",
+				Kind:   Chat,
+				Events: 2,
+				Status: 200,
+				Body:   "id: 1\ndata: a 0\n\nid: 2\nda",
+				Executions: []*Execution{{
+					Version: "v1",
+				}},
+			}
+			is.Equal(lastEvent(origin), 1)
+			a := &Attempt{
+				ID:       "b",
+				Kind:     Chat,
+				Events:   2,
+				Origin:   origin,
+				After:    1,
+				Status:   200,
+				Complete: true,
+				Body:     "id: " + c.first + "\ndata: b 0\n\n",
+				Executions: []*Execution{{
+					Version:      c.version,
+					ResumedAfter: 1,
+					Complete:     true,
+				}},
+			}
+			l.checkStream(a)
+			violations := strings.Join(l.Violations(), "\n")
+			if c.rule == "" {
+				is.Equal(violations, "")
+				return
+			}
+			is.True(strings.Contains(violations, " "+c.rule+": "))
+		})
+	}
+}
+
 // TestRevokedKeyMustNotRun records executions of requests that were sent before and after the
 // revocation of their key, and of one that no caller sent.
 func TestRevokedKeyMustNotRun(t *testing.T) {
--- a/bench/internal/soak/ledger.go
+++ b/bench/internal/soak/ledger.go
@@ -27,7 +27,9 @@
 // Execution is one upstream's execution of an attempt.
 type Execution struct {
 	Upstream string
-	Start    time.Time
+	// Version is the version of the upstream's software.
+	Version string
+	Start   time.Time
 	// ResumedAfter is the number of the last event that the caller has received from
 	// earlier executions; zero for a new stream.
 	ResumedAfter int
@@ -47,6 +49,10 @@
 	Sent    time.Time
 	// Events is the number of events in the complete stream.
 	Events int
+	// Origin is the attempt that brought the first event of the stream that this one resumes,
+	// and After the last event that the caller has of it; nil and zero for a new stream.
+	Origin *Attempt
+	After  int
 
 	// The outcome, set by RecordEnd. Status is zero without an answer.
 	Status   int
@@ -68,6 +74,7 @@
 //   - unasked: an upstream ran a request that no caller sent.
 //   - answer: a caller got a complete answer that no execution wrote.
 //   - order: events of a stream are missing, repeated or from the wrong execution.
+//   - version: a stream holds events of upstreams of two software versions.
 //   - lost: an answer was lost although no fault affected its path.
 //   - budget: there were more retries than the fleet's retry budget allows.
 //   - configuration: a valid change was refused, or a controller returned an older version
--- a/bench/internal/soak/soak.go
+++ b/bench/internal/soak/soak.go
@@ -149,7 +149,8 @@
 	host := s.address(groupPlatform, 1)
 	for i := range 2 * s.options.Upstreams {
 		service := []string{"desk", "llm"}[i%2]
-		u, err := NewUpstream(service, fmt.Sprintf("%s:%d", host, upstreamPort+i), fmt.Sprintf("%s:%d", host, relayPort+i), s.ledger)
+		version := softwareVersions[i/2%len(softwareVersions)]
+		u, err := NewUpstream(service, version, fmt.Sprintf("%s:%d", host, upstreamPort+i), fmt.Sprintf("%s:%d", host, relayPort+i), s.ledger)
 		if err != nil {
 			return merry.Prepend(err, "upstream")
 		}
--- a/bench/internal/soak/upstream.go
+++ b/bench/internal/soak/upstream.go
@@ -27,6 +27,7 @@
 
 	mu          sync.Mutex
 	id          string
+	version     string // of the software
 	incarnation int
 	draining    bool
 	fault       string
@@ -59,11 +60,15 @@
 // maxBackoff is the longest backoff that a stand-in asks for under the fault "rest".
 const maxBackoff = 1500 * time.Millisecond
 
-// NewUpstream starts an upstream of a service that listens on one address, and its relay,
-// which listens on the other.
-func NewUpstream(service, listen, relayed string, ledger *Ledger) (*Upstream, error) {
+// softwareVersions are the versions of the upstreams' software.
+var softwareVersions = []string{"v1", "v2"}
+
+// NewUpstream starts an upstream of a service and a software version that listens on one
+// address, and its relay, which listens on the other.
+func NewUpstream(service, version, listen, relayed string, ledger *Ledger) (*Upstream, error) {
 	u := &Upstream{
 		service: service,
+		version: version,
 		ledger:  ledger,
 		address: listen,
 		conns:   make(map[net.Conn]bool),
@@ -132,13 +137,15 @@
 		Zone:     "zone-a",
 		Slots:    upstreamSlots,
 		Draining: u.draining,
+		Version:  u.version,
 	}
 }
 
 // InjectFault injects a fault for a time and returns after it is over. It replaces a fault
 // that is still active. The kinds are:
 //
-//   - crash: the upstream stops and comes back under another identifier.
+//   - crash: the upstream stops and comes back under another identifier, in a third of the
+//     cases with another software version.
 //   - hang: requests get no answer.
 //   - reject: half the requests are answered 503 without having run.
 //   - rest: as reject, and the answer also asks for a backoff.
@@ -154,6 +161,11 @@
 	if kind == "crash" {
 		u.stop()
 		time.Sleep(duration)
+		if rand.IntN(3) == 0 {
+			u.mu.Lock()
+			u.version = softwareVersions[rand.IntN(len(softwareVersions))]
+			u.mu.Unlock()
+		}
 		u.restart()
 		return
 	}
@@ -204,11 +216,12 @@
 	}
 }
 
-// state returns the present identifier and fault, and whether the upstream is draining.
-func (u *Upstream) state() (id, fault string, leaving bool) {
+// state returns the present identifier, software version and fault, and whether the upstream
+// is draining.
+func (u *Upstream) state() (id, version, fault string, leaving bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.id, u.fault, u.draining
+	return u.id, u.version, u.fault, u.draining
 }
 
 // stateRateLimit sets the limit that the upstream states from now on, in requests a second.
@@ -235,7 +248,7 @@
 		return
 	}
 	attempt, placed := platform.PeerHeaders{}.ReadPlacement(r.Header)
-	id, fault, leaving := u.state()
+	id, version, fault, leaving := u.state()
 	reply := call.Reply{
 		ID:        attempt,
 		Leaving:   leaving,
@@ -257,6 +270,7 @@
 	}
 	execution := &Execution{
 		Upstream: id,
+		Version:  version,
 		Start:    time.Now(),
 	}
 	execution.ResumedAfter, _ = strconv.Atoi(placed.LastEvent) // zero for a new stream
