--- a/controller/internal/gateway/hub.go
+++ b/controller/internal/gateway/hub.go
@@ -10,6 +10,7 @@
 	"baobabpaddle/controller/internal/replica"
 	"baobabpaddle/fleet/dispatch"
 	"baobabpaddle/fleet/link"
+	"baobabpaddle/fleet/origin"
 	"baobabpaddle/fleet/telemetry"
 	"baobabpaddle/fleet/wire"
 )
@@ -62,8 +63,12 @@
 	frame          wire.Serve
 	upstreams      []dispatch.Upstream
 	confirmedPings []ping
-	configuration  *preparedConfiguration // may come with confirmedPings
-	recorded       *recordedQuarantine
+	// confirmedTakeUps are requests for which the state was read with the confirmation of a
+	// majority.
+	confirmedTakeUps []takeUp
+	originResult     *originResult
+	configuration    *preparedConfiguration // may come with confirmedPings
+	recorded         *recordedQuarantine
 }
 
 // ping is a gateway's request for a proof that its configuration is the newest.
@@ -82,6 +87,7 @@
 
 	events       chan event
 	pings        chan ping
+	takeUps      chan takeUp
 	linked       atomic.Int64
 	listRequests chan struct{}
 	// nextDecay is when the traffic of gateways is halved next.
@@ -95,7 +101,14 @@
 	active    *preparedConfiguration       // nil before a configuration was read
 	upstreams map[string]dispatch.Upstream // by identifier; nil before the list was read
 	replies   map[*conn][]dispatch.Decision
-	sampler   *metricsSampler
+	// origins is nil as long as there is no replica to start it from, and originsFailed
+	// reports whether the last change of the history failed.
+	origins       *origin.Keeper
+	originsFailed bool
+	// listed is the platform's list as it was read last. The published one lacks upstreams
+	// whose software versions are not recorded.
+	listed  []dispatch.Upstream
+	sampler *metricsSampler
 	// servingSince is when a gateway connected while there was no other.
 	servingSince time.Time
 	// recorded are the quarantined subjects in the replicated state; nil before they were
@@ -123,6 +136,7 @@
 		log:          log,
 		events:       make(chan event, eventQueueSize),
 		pings:        make(chan ping, eventQueueSize),
+		takeUps:      make(chan takeUp, eventQueueSize),
 		sampler:      newMetricsSampler(metrics),
 		listRequests: make(chan struct{}, 1),
 	}
@@ -140,6 +154,7 @@
 	h.conns = make(map[string]*conn)
 	h.replies = make(map[*conn][]dispatch.Decision)
 	h.upstreams = nil
+	h.origins, h.listed = nil, nil
 	h.rateLimits = nil
 	h.recorded = nil
 	if h.active != nil {
@@ -155,6 +170,10 @@
 func (h *Hub) Run(ctx context.Context) {
 	go h.answerPings(ctx)
 	go h.watchConfiguration(ctx)
+	go h.confirmTakeUps(ctx)
+	recording := time.NewTimer(time.Hour)
+	defer recording.Stop()
+	armed := false
 	ticker := time.NewTicker(leadershipCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -165,6 +184,9 @@
 		case e := <-h.events:
 			h.handle(e)
 			h.drain()
+		case <-recording.C:
+			armed = false
+			h.recordOrigins(ctx)
 		case now := <-ticker.C:
 			h.reportObservations(now)
 			h.maintainQuarantine(ctx, now)
@@ -175,6 +197,11 @@
 				h.closeAll()
 				h.reset()
 			}
+			h.removeVersions(ctx, now)
+		}
+		if delay, ok := h.originsPending(); ok && !armed {
+			recording.Reset(delay)
+			armed = true
 		}
 	}
 }
@@ -218,6 +245,12 @@
 		h.receive(e.from, e.frame)
 	case e.upstreams != nil:
 		h.setUpstreams(e.upstreams)
+	case e.confirmedTakeUps != nil:
+		for _, t := range e.confirmedTakeUps {
+			h.continueConfirmed(t)
+		}
+	case e.originResult != nil:
+		h.originsRecorded(e.originResult)
 	case e.confirmedPings != nil:
 		h.activate(e.configuration)
 		for _, p := range e.confirmedPings {
@@ -242,6 +275,7 @@
 	if len(h.conns) == 0 {
 		h.servingSince = time.Now()
 		h.loadQuarantine()
+		h.loadOrigins()
 	}
 	h.conns[c.name] = c
 	h.linked.Store(int64(len(h.conns)))
--- a/controller/internal/gateway/hub_test.go
+++ b/controller/internal/gateway/hub_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"log/slog"
 	"testing"
 	"time"
 
@@ -10,7 +9,6 @@
 
 	"baobabpaddle/fleet/dispatch"
 	"baobabpaddle/fleet/state"
-	"baobabpaddle/fleet/telemetry"
 	"baobabpaddle/fleet/wire"
 )
 
@@ -20,7 +18,7 @@
 // must count afterwards.
 func TestPlacementWaitsForUpstreams(t *testing.T) {
 	is := is.New(t)
-	h := New(nil, nil, telemetry.NewMetrics(), slog.New(slog.DiscardHandler))
+	h := newTestHub()
 	c := &conn{
 		name: "a",
 	}
@@ -64,7 +62,7 @@
 // is none, at most once per listRequestInterval.
 func TestListIsRequestedUntilRead(t *testing.T) {
 	is := is.New(t)
-	h := New(nil, nil, telemetry.NewMetrics(), slog.New(slog.DiscardHandler))
+	h := newTestHub()
 	now := time.Unix(1000, 0)
 	h.requestList(now)
 	select {
@@ -90,7 +88,7 @@
 // of teams that a gateway reports.
 func TestNewLeaderRecordsAccounts(t *testing.T) {
 	is := is.New(t)
-	h := New(nil, nil, telemetry.NewMetrics(), slog.New(slog.DiscardHandler))
+	h := newTestHub()
 	h.receive(&conn{
 		name: "a",
 	}, wire.Serve{
@@ -110,7 +108,7 @@
 // only when a gateway needs it, and none for an older version.
 func TestConfigurationFrames(t *testing.T) {
 	is := is.New(t)
-	h := New(nil, nil, telemetry.NewMetrics(), slog.New(slog.DiscardHandler))
+	h := newTestHub()
 	prepare := func(version uint64, routes string) *preparedConfiguration {
 		prepared, err := h.cache.prepare(state.Configuration{
 			Version: version,
--- /dev/null
+++ b/controller/internal/gateway/main_test.go
@@ -0,0 +1,24 @@
+package gateway
+
+import (
+	"log/slog"
+	"time"
+
+	"baobabpaddle/fleet/origin"
+	"baobabpaddle/fleet/telemetry"
+)
+
+// newTestHub returns a hub without replicas whose history has the upstreams of all tests.
+func newTestHub() *Hub {
+	h := New(nil, nil, telemetry.NewMetrics(), slog.New(slog.DiscardHandler))
+	history := &origin.History{
+		Complete: true,
+		Versions: map[string][]string{
+			"desk": {""},
+			"llm":  {""},
+		},
+	}
+	history.Initialize()
+	h.origins = origin.NewKeeper(time.Now(), history)
+	return h
+}
--- a/controller/internal/gateway/measure.go
+++ b/controller/internal/gateway/measure.go
@@ -24,6 +24,8 @@
 	// segments and requests are the numbers of quarantined prompt segments and requests.
 	segments int
 	requests int
+	// streams is the number of streams in the replicated history.
+	streams int
 }
 
 // metricsSampler publishes samples of the scheduler as gauges. A service gets its
@@ -46,13 +48,14 @@
 	m.Gauge("controller_segments_quarantined", func() float64 { return float64(s.latest.Load().segments) })
 	m.Gauge("controller_requests_quarantined", func() float64 { return float64(s.latest.Load().requests) })
 	m.Gauge("controller_upstreams_rate_limited", func() float64 { return float64(s.latest.Load().limited) })
+	m.Gauge("controller_streams_recorded", func() float64 { return float64(s.latest.Load().streams) })
 	m.Gauge("controller_teams_counted", func() float64 { return float64(s.latest.Load().teams) })
 	return s
 }
 
 // update takes a sample if one is due. It returns the teams that are short in it, and
-// nil if none was taken.
-func (s *metricsSampler) update(now time.Time, scheduler *dispatch.Scheduler) []dispatch.Shortfall {
+// nil if none was taken. Streams returns the number of streams in the replicated history.
+func (s *metricsSampler) update(now time.Time, scheduler *dispatch.Scheduler, streams func() int) []dispatch.Shortfall {
 	if now.Before(s.next) {
 		return nil
 	}
@@ -70,6 +73,7 @@
 	register := scheduler.Quarantine()
 	next.segments, next.requests = register.QuarantinedOf(quarantine.Segment), register.QuarantinedOf(quarantine.Request)
 	next.limited = len(scheduler.RateLimits())
+	next.streams = streams()
 	s.latest.Store(next)
 	return short
 }
@@ -95,5 +99,5 @@
 // last call, and updates the gauges.
 func (h *Hub) reportObservations(now time.Time) {
 	trace.LogUpstreamChanges(h.log, now, h.scheduler.SuspensionChanges())
-	trace.LogShortfalls(h.log, now.Sub(h.servingSince), h.sampler.update(now, h.scheduler))
+	trace.LogShortfalls(h.log, now.Sub(h.servingSince), h.sampler.update(now, h.scheduler, h.recordedStreams))
 }
--- a/controller/internal/gateway/quarantine_test.go
+++ b/controller/internal/gateway/quarantine_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"log/slog"
 	"testing"
 	"time"
 
@@ -10,7 +9,6 @@
 	"baobabpaddle/fleet/dispatch"
 	"baobabpaddle/fleet/quarantine"
 	"baobabpaddle/fleet/state"
-	"baobabpaddle/fleet/telemetry"
 	"baobabpaddle/fleet/wire"
 )
 
@@ -18,7 +16,7 @@
 
 // newLeadingHub returns a hub with one service of two engines.
 func newLeadingHub() *Hub {
-	h := New(nil, nil, telemetry.NewMetrics(), slog.New(slog.DiscardHandler))
+	h := newTestHub()
 	h.setUpstreams([]dispatch.Upstream{
 		{
 			ID:      "u1",
--- a/controller/internal/gateway/receive.go
+++ b/controller/internal/gateway/receive.go
@@ -36,6 +36,7 @@
 	for _, report := range frame.RateLimits {
 		h.scheduler.ApplyRateLimit(now, c.name, report)
 	}
+	h.receiveBegun(now, frame.Begun)
 	for _, id := range frame.Started {
 		key.ID = id
 		h.scheduler.RecordStart(now, key)
@@ -51,8 +52,11 @@
 		h.requestList(now)
 	}
 	for _, r := range frame.PlacementRequests {
-		c.traffic.add(r.Weight())
-		h.replies[c] = append(h.replies[c], h.scheduler.Place(now, c.name, r))
+		if r.Continues && r.Version == "" {
+			h.continueStream(c, r)
+			continue
+		}
+		h.place(c, r)
 	}
 	if frame.Ping != 0 {
 		select {
--- a/controller/internal/gateway/traffic_test.go
+++ b/controller/internal/gateway/traffic_test.go
@@ -1,20 +1,17 @@
 package gateway
 
 import (
-	"log/slog"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-
-	"baobabpaddle/fleet/telemetry"
 )
 
 // TestTrafficShares checks the traffic fractions of three gateways without traffic, with uneven
 // traffic and after one half-life.
 func TestTrafficShares(t *testing.T) {
 	is := is.New(t)
-	h := New(nil, nil, telemetry.NewMetrics(), slog.New(slog.DiscardHandler))
+	h := newTestHub()
 	crowded, calm, idle := &conn{}, &conn{}, &conn{}
 	for name, c := range map[string]*conn{
 		"crowded": crowded,
--- a/controller/internal/gateway/upstreams.go
+++ b/controller/internal/gateway/upstreams.go
@@ -40,12 +40,22 @@
 // be read at once, instead of at the next poll.
 func (h *Hub) ListRequests() <-chan struct{} { return h.listRequests }
 
-// setUpstreams replaces the list of upstreams and sends the gateways the change. The
-// first list after a change of leader is sent whole, except to gateways that have it
-// already.
+// setUpstreams replaces the platform's list of upstreams.
 func (h *Hub) setUpstreams(list []dispatch.Upstream) {
-	next := wire.IndexByID(list)
+	h.listed = list
+	h.publishUpstreams()
+}
+
+// publishUpstreams sends the gateways the change of the list, without upstreams whose software
+// versions are not recorded yet. The first list after a change of leader is sent whole, except
+// to gateways that have it already. It is not published as long as no upstream is left.
+func (h *Hub) publishUpstreams() {
+	list := h.publishable(time.Now())
 	first := h.upstreams == nil
+	if first && len(list) == 0 && len(h.listed) > 0 {
+		return
+	}
+	next := wire.IndexByID(list)
 	change := wire.DiffUpstreams(h.upstreams, next)
 	if first {
 		change = wire.FullUpdate(next)
--- a/controller/internal/replica/replica.go
+++ b/controller/internal/replica/replica.go
@@ -272,6 +272,11 @@
 // is that of the leader, so that all replicas apply the same one.
 func (r *Replica) propose(p *proposal) {
 	p.command.Time = time.Now().UTC()
+	if c := p.command.Replace; c != nil {
+		tracked := *c
+		tracked.TracksVersions = true // by the hub of this leader
+		p.command.Replace = &tracked
+	}
 	data, err := state.Encode(p.command)
 	if err != nil {
 		p.done <- outcome{
--- a/fleet/dispatch/choice.go
+++ b/fleet/dispatch/choice.go
@@ -1,9 +1,6 @@
 package dispatch
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // unseenLoad is the estimated load that other gateways put on each upstream of a
 // service.
@@ -74,7 +71,7 @@
 	typical := s.serviceSpeed(r.Service).typical()
 	for i := range engines {
 		e := engines[(start+i)%len(engines)]
-		if !e.usable(now, r.Idempotent) || slices.Contains(r.Excluded, e.ID) {
+		if !e.takes(now, &r) {
 			continue
 		}
 		if e.pacer.limited() && !s.mayStart(now, e, reserve, &best) {
--- a/fleet/dispatch/request.go
+++ b/fleet/dispatch/request.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"baobabpaddle/fleet/origin"
 	"baobabpaddle/fleet/quarantine"
 )
 
@@ -77,7 +78,7 @@
 	Excluded []string `cbor:"8,keyasint,omitempty"`
 	// Resumed reports whether the request continues an interrupted stream. Such a request
 	// was admitted before, so it is not refused for its team's share or because engines
-	// are busy.
+	// are busy, unless it can't be served before its deadline.
 	Resumed bool `cbor:"9,keyasint,omitempty"`
 	// Digest identifies requests with the same target, team and body, at any gateway. It is
 	// zero if the gateway sends none.
@@ -85,6 +86,14 @@
 	// Idempotent reports whether the request may be sent again if it fails. Such requests
 	// are the first to probe an upstream after a suspension.
 	Idempotent bool `cbor:"10,keyasint,omitempty"`
+	// Stream identifies the stream that the request begins or, if Continues is true, the one
+	// of an earlier request that its caller resumes. It is zero for requests whose answers
+	// can't be resumed.
+	Stream    origin.Stream `cbor:"13,keyasint,omitempty"`
+	Continues bool          `cbor:"14,keyasint,omitempty"`
+	// Version is the software version of the upstreams that may get the request, the one that
+	// began its stream. Empty means any version, unless Continues is true.
+	Version string `cbor:"15,keyasint,omitempty"`
 }
 
 // countsForTeam reports whether the request adds to its team's demand. Resumed requests
@@ -109,6 +118,9 @@
 	RefuseFor time.Duration `cbor:"7,keyasint,omitempty"`
 	// Inputs are the values that the decision is based on.
 	Inputs Inputs `cbor:"8,keyasint,omitempty"`
+	// Version is the software version that began the stream that the request continues; empty
+	// if it is not known or the request continues none.
+	Version string `cbor:"9,keyasint,omitempty"`
 }
 
 // Values of Inputs.DecidedBy.
@@ -166,6 +178,12 @@
 	// Quarantined: upstreams crashed with this request, or with requests that hold one of
 	// its prompt's segments. A retry won't help if RetryAfter is zero.
 	Quarantined Reason = "quarantined"
+	// UnknownVersion: it is not known which software version began the stream that the request
+	// continues. A retry won't help if RetryAfter is zero.
+	UnknownVersion Reason = "unknown_version"
+	// VersionUnavailable: no listed upstream runs the software version that began the stream.
+	// A retry won't help.
+	VersionUnavailable Reason = "version_unavailable"
 )
 
 // Outcome is how a request at an upstream ended.
--- a/fleet/dispatch/scheduler.go
+++ b/fleet/dispatch/scheduler.go
@@ -146,6 +146,8 @@
 	switch {
 	case verdict > quarantine.Trial:
 		return s.refuseQuarantined(r, verdict, record)
+	case r.Continues && r.Version == "":
+		return s.refuse(now, r, UnknownVersion, s.inputs(r, choice{}))
 	case r.Prompt.Tokens == 0:
 		return s.placePlain(now, gateway, r, verdict == quarantine.Trial)
 	}
@@ -169,15 +171,32 @@
 	case AheadOfOthers:
 		first, last = MinRetryFraction*float64(r.Objective), MaxRetryFraction*float64(r.Objective)
 	}
+	retryAfter := time.Duration(first + s.random.Float64()*(last-first))
+	if reason == VersionUnavailable {
+		retryAfter = 0
+	}
 	return Decision{
 		ID:         r.ID,
 		Reason:     reason,
-		RetryAfter: time.Duration(first + s.random.Float64()*(last-first)),
+		RetryAfter: retryAfter,
 		RefuseFor:  refuseFor,
 		Inputs:     in,
 	}
 }
 
+// missingUpstream returns why no upstream takes a request.
+func (s *Scheduler) missingUpstream(r Request) Reason {
+	if r.Version == "" {
+		return NoUpstream
+	}
+	for _, e := range s.services[r.Service] {
+		if e.Version == r.Version && !e.Draining {
+			return NoUpstream
+		}
+	}
+	return VersionUnavailable
+}
+
 // tokenCost returns the tokens charged to a request's team: the prompt tokens and twice
 // the expected output tokens.
 func tokenCost(p Prompt) float64 { return float64(p.Tokens) + 2*p.ExpectedOutput() }
@@ -193,7 +212,7 @@
 	in := s.inputs(r, best)
 	if best.engine == nil {
 		if best.paced == nil {
-			return s.refuse(now, r, NoUpstream, in)
+			return s.refuse(now, r, s.missingUpstream(r), in)
 		}
 		s.markRefused(now, r)
 		return s.refusePaced(now, r, best, overShare, in)
@@ -202,6 +221,9 @@
 	in.QueueDelay, in.PrefillTime = delay, prefillTime(best.uncached, best.speed)
 	class := s.class(r.Class)
 	size := prefillTime(class.observe(now, float64(r.Prompt.Tokens), best.uncached), best.speed)
+	if r.Resumed && delay > r.Remaining && r.Remaining > 0 {
+		return s.refuse(now, r, Busy, in)
+	}
 	if !r.Resumed {
 		if reason := s.refusalReason(r, best.engine, delay, size, overShare); reason != "" {
 			s.markRefused(now, r)
@@ -344,7 +366,7 @@
 	start := s.startIndex(len(engines))
 	for i := range engines {
 		e := engines[(start+i)%len(engines)]
-		if !e.usable(now, r.Idempotent) || slices.Contains(r.Excluded, e.ID) {
+		if !e.takes(now, &r) {
 			continue
 		}
 		if e.pacer.limited() && !s.mayStart(now, e, 1, &best) {
@@ -370,7 +392,7 @@
 	case e == nil && best.paced != nil:
 		return s.refusePaced(now, r, best, false, in)
 	case e == nil:
-		return s.refuse(now, r, NoUpstream, in)
+		return s.refuse(now, r, s.missingUpstream(r), in)
 	}
 	if e.Slots > 0 && best.running >= float64(e.Slots)*(1+queuePerSlot) {
 		return s.refuse(now, r, Busy, in)
--- a/fleet/dispatch/upstream.go
+++ b/fleet/dispatch/upstream.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // engine is the state of one upstream, a model engine or a plain service.
 type engine struct {
@@ -40,9 +43,9 @@
 }
 
 // restarted reports whether the upstream has restarted according to its new list entry u:
-// it was unlisted or draining and is back, or it has another address.
+// it was unlisted or draining and is back, or it has another address or software version.
 func (e *engine) restarted(u Upstream) bool {
-	return !e.listed || e.Draining && !u.Draining || e.Address != u.Address
+	return !e.listed || e.Draining && !u.Draining || e.Address != u.Address || e.Version != u.Version
 }
 
 // restart discards the notices, the rate limit, the speed and the cache of an earlier start. Capacity is
@@ -58,7 +61,12 @@
 	}
 }
 
-// usable reports whether the upstream takes a request now. Idempotent reports whether the
+// takes reports whether the upstream takes the request now.
+func (e *engine) takes(now time.Time, r *Request) bool {
+	return e.usable(now, r.Idempotent) && (r.Version == "" || e.Version == r.Version) && !slices.Contains(r.Excluded, e.ID)
+}
+
+// usable reports whether the upstream takes requests now. Idempotent reports whether the
 // request may be sent again if it fails.
 func (e *engine) usable(now time.Time, idempotent bool) bool {
 	if !e.listed || e.Draining || now.Before(e.suspendedUntil) || e.declines(now) {
--- a/fleet/problem/problem.go
+++ b/fleet/problem/problem.go
@@ -35,6 +35,7 @@
 	NoUpstream       Code = "no_upstream"
 	NoQuorum         Code = "no_quorum"
 	NotReady         Code = "not_ready"
+	NotResumable     Code = "stream_not_resumable"
 	Draining         Code = "draining"
 	UpstreamFailed   Code = "upstream_failed"
 	AnswerLost       Code = "answer_lost"
--- a/fleet/state/command.go
+++ b/fleet/state/command.go
@@ -6,6 +6,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
 
+	"baobabpaddle/fleet/origin"
 	"baobabpaddle/fleet/resource"
 )
 
@@ -59,6 +60,8 @@
 	Replace *Configuration `json:"replace,omitempty"`
 
 	Quarantine *QuarantineChange `json:"quarantine,omitempty"`
+
+	Origins *origin.Change `json:"origins,omitempty"`
 }
 
 // Put creates a resource if its Version is zero, or else replaces the resource
--- a/fleet/state/configuration.go
+++ b/fleet/state/configuration.go
@@ -10,6 +10,9 @@
 	// Document is the configuration as the operator sent it. It is validated
 	// before it is proposed.
 	Document []byte `json:"document"`
+	// TracksVersions reports that the leader which proposed it records the software versions
+	// of upstreams before gateways learn of them.
+	TracksVersions bool `json:"tracks_versions,omitempty"`
 }
 
 // replaceConfiguration puts a configuration in force if its version is the
@@ -30,6 +33,10 @@
 			Detail: "another configuration has this version",
 		}
 	}
+	if present.Version == 0 && r.TracksVersions {
+		// No stream can have begun before the first configuration.
+		s.Origins.Complete = true
+	}
 	if r.Version > present.Version {
 		s.Configuration = r
 	}
--- a/fleet/state/state.go
+++ b/fleet/state/state.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"baobabpaddle/fleet/origin"
 	"baobabpaddle/fleet/resource"
 )
 
@@ -67,6 +68,8 @@
 	// QuarantineRevision grows by one with each change of them.
 	Quarantine         map[uint64]QuarantinedSubject `json:"quarantine"`
 	QuarantineRevision uint64                        `json:"quarantine_revision"`
+	// Origins are the software versions that began streams.
+	Origins origin.History `json:"origins"`
 	// Indexes that are derived from the fields above.
 	teamsByKey    map[string]string
 	teamsByNumber map[uint64]string
@@ -125,6 +128,7 @@
 	if s.Quarantine == nil {
 		s.Quarantine = make(map[uint64]QuarantinedSubject)
 	}
+	s.Origins.Initialize()
 	s.teamsByKey = make(map[string]string)
 	s.teamsByNumber = make(map[uint64]string)
 	for _, r := range s.Resources[resource.KindTeam] {
@@ -159,6 +163,11 @@
 		return s.replaceConfiguration(*c.Replace)
 	case c.Quarantine != nil:
 		return s.changeQuarantine(c.Time, *c.Quarantine)
+	case c.Origins != nil:
+		s.Origins.Apply(c.Time, *c.Origins)
+		return Result{
+			Code: CodeOK,
+		}
 	}
 	return Result{
 		Code: CodeInvalid,
--- a/fleet/wire/serve.go
+++ b/fleet/wire/serve.go
@@ -3,6 +3,7 @@
 import (
 	"baobabpaddle/fleet/configuration"
 	"baobabpaddle/fleet/dispatch"
+	"baobabpaddle/fleet/origin"
 	"baobabpaddle/fleet/quarantine"
 	"baobabpaddle/fleet/state"
 )
@@ -45,6 +46,10 @@
 	// RateLimitsComplete reports that RateLimits holds all that the controller knows.
 	RateLimitsComplete bool `cbor:"24,keyasint,omitempty"`
 
+	// Begun are streams whose first events the gateway has forwarded: new ones, and when it
+	// links the latest.
+	Begun []origin.Batch `cbor:"25,keyasint,omitempty"`
+
 	// Welcome is sent in the controller's first frame.
 	Welcome *Welcome `cbor:"10,keyasint,omitempty"`
 	// Pong is the number of the ping that it answers: the configuration sent so far
@@ -151,5 +156,5 @@
 	return s.Hello == nil && s.Ping == 0 && len(s.PlacementRequests) == 0 && len(s.InFlight) == 0 && len(s.Started) == 0 &&
 		len(s.Ended) == 0 && s.Welcome == nil && s.Pong == 0 && s.Configuration == nil && s.Upstreams == nil &&
 		len(s.Decisions) == 0 && s.Gateways == 0 && len(s.Accounts) == 0 && len(s.UpstreamNotices) == 0 && len(s.Refused) == 0 && s.Change == nil && s.TrafficFraction == 0 &&
-		len(s.Quarantine) == 0 && !s.QuarantineComplete && len(s.RateLimits) == 0 && !s.RateLimitsComplete
+		len(s.Begun) == 0 && len(s.Quarantine) == 0 && !s.QuarantineComplete && len(s.RateLimits) == 0 && !s.RateLimitsComplete
 }
--- a/gateway/internal/controller/link.go
+++ b/gateway/internal/controller/link.go
@@ -5,12 +5,14 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"baobabpaddle/fleet/configuration"
 	"baobabpaddle/fleet/dispatch"
 	"baobabpaddle/fleet/link"
+	"baobabpaddle/fleet/origin"
 	"baobabpaddle/fleet/steady"
 	"baobabpaddle/fleet/trace"
 	"baobabpaddle/fleet/wire"
@@ -21,6 +23,12 @@
 	// decisionTimeout is how long the gateway waits for a decision of the leader before it
 	// decides locally. It allows for some round trips between availability zones.
 	decisionTimeout = 60 * time.Millisecond
+	// originTimeout is the same for the request of a caller that resumes a stream of which only
+	// the leader may know the software version. Without the leader it would be refused.
+	originTimeout = 300 * time.Millisecond
+	// maxReportedStreams is the number of streams that are reported to a leader when the
+	// gateway links to it.
+	maxReportedStreams = 4096
 	// flushInterval bounds the delay of reports on answers that began or ended.
 	flushInterval  = 5 * time.Millisecond
 	pingInterval   = 500 * time.Millisecond
@@ -44,12 +52,19 @@
 // reply receives the decision on one request. Its buffer holds one.
 type reply chan dispatch.Decision
 
-// event is handled by the control goroutine. Exactly one of place, started, ended, notice,
-// limit, linked, lost and frame is set.
+// begunStream is a stream whose first event is being forwarded.
+type begunStream struct {
+	stream origin.Stream
+	origin origin.Origin
+}
+
+// event is handled by the control goroutine. Exactly one of place, started, begun, ended,
+// notice, limit, linked, lost and frame is set.
 type event struct {
 	place         *dispatch.Request
 	reply         reply
 	started       uint64
+	begun         *begunStream
 	ended         *wire.Ended
 	notice        *dispatch.Notice
 	limit         *dispatch.RateLimitReport
@@ -83,11 +98,15 @@
 	scheduler    *dispatch.Scheduler
 	conn         *link.Conn[wire.Serve]
 	waiting      map[uint64]waiting
-	waitingOrder []uint64               // keys of waiting, by deadline; some are no longer waiting
-	outgoing     wire.Serve             // the next frame, not sent yet
-	pingTimes    map[uint64]steady.Time // when unanswered pings were sent, by number
-	lastPing     uint64
-	version      uint64 // of the configuration in force
+	waitingOrder []uint64 // keys of waiting, by deadline; some are no longer waiting
+	// originOrder is the same for requests with originTimeout.
+	originOrder []uint64
+	// begun are the origins of the streams that this gateway has forwarded.
+	begun     *origin.Register
+	outgoing  wire.Serve             // the next frame, not sent yet
+	pingTimes map[uint64]steady.Time // when unanswered pings were sent, by number
+	lastPing  uint64
+	version   uint64 // of the configuration in force
 	// snapshot is the configuration in force, nil without one.
 	snapshot   *configuration.Snapshot
 	lastLeader string // address of the leader of the last link
@@ -109,6 +128,7 @@
 		log:       log,
 		events:    make(chan event, eventQueueSize),
 		scheduler: dispatch.New(dispatch.Settings{}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		begun:     origin.NewRegister(),
 		waiting:   make(map[uint64]waiting),
 		pingTimes: make(map[uint64]steady.Time),
 	}
@@ -158,6 +178,16 @@
 	}
 }
 
+// ReportBegun reports what began a stream whose first event is being forwarded.
+func (l *Link) ReportBegun(s origin.Stream, o origin.Origin) {
+	l.events <- event{
+		begun: &begunStream{
+			stream: s,
+			origin: o,
+		},
+	}
+}
+
 // ReportOutcome reports how a request ended at its upstream.
 func (l *Link) ReportOutcome(id uint64, outcome dispatch.Outcome) {
 	ended := wire.NewEnded(id, outcome)
@@ -252,6 +282,11 @@
 		if l.conn != nil {
 			l.outgoing.Started = append(l.outgoing.Started, e.started)
 		}
+	case e.begun != nil:
+		l.begun.Record(time.Now(), e.begun.stream, e.begun.origin)
+		if l.conn != nil {
+			l.outgoing.Begun = origin.AppendBatch(l.outgoing.Begun, e.begun.stream, e.begun.origin)
+		}
 	case e.ended != nil:
 		l.scheduler.RecordEnd(time.Now(), l.key(e.ended.ID), e.ended.Exactly())
 		if l.conn != nil {
@@ -319,6 +354,7 @@
 	l.outgoing.UpstreamNotices = l.scheduler.Notices(time.Now())
 	l.outgoing.RateLimits = l.scheduler.RateLimitReports()
 	l.outgoing.Quarantine = l.scheduler.Quarantine().Records(time.Now())
+	l.outgoing.Begun = l.begun.Latest("", maxReportedStreams)
 	l.scheduler.SetFollowing(true)
 	if leader != l.lastLeader {
 		l.refusals.reset()
@@ -341,13 +377,13 @@
 	l.outgoing = wire.Serve{}
 	clear(l.pingTimes)
 	now := time.Now()
-	for _, id := range l.waitingOrder {
+	for _, id := range slices.Concat(l.waitingOrder, l.originOrder) {
 		if w, ok := l.waiting[id]; ok {
 			delete(l.waiting, id)
 			l.decideLocally(now, w)
 		}
 	}
-	l.waitingOrder = nil
+	l.waitingOrder, l.originOrder = nil, nil
 	l.log.Warn("link to the leader lost", "leader", l.view.Load().Leader, "cause", cause,
 		"proof_left_ms", l.view.Load().ProvenUntil.Sub(steady.Now()).Milliseconds())
 	l.setLeader("")
--- a/gateway/internal/controller/link_test.go
+++ b/gateway/internal/controller/link_test.go
@@ -89,6 +89,7 @@
 				ID:      "u",
 				Service: "desk",
 				Address: "10.0.0.1:80",
+				Version: "v1",
 			},
 		})),
 	})
--- a/gateway/internal/controller/place.go
+++ b/gateway/internal/controller/place.go
@@ -11,34 +11,64 @@
 // excludes upstreams that have told this gateway to send nothing now.
 func (l *Link) place(r dispatch.Request, decision reply) {
 	now := time.Now()
+	if known, ok := l.begun.Find(r.Stream); ok && r.Continues && r.Version == "" {
+		if !known.Known() || known.Service != r.Service {
+			decision <- refuseUnknownVersion(r)
+			return
+		}
+		r.Version, r.Resumed = known.Version, true
+	}
 	if l.conn == nil {
 		decision <- l.placeLocally(now, r)
 		return
 	}
+	timeout, order := decisionTimeout, &l.waitingOrder
+	if r.Continues && r.Version == "" {
+		timeout, order = originTimeout, &l.originOrder
+	}
 	r.Excluded = append(r.Excluded[:len(r.Excluded):len(r.Excluded)], l.scheduler.Declining(now, r.Service)...)
 	l.waiting[r.ID] = waiting{
 		request:  r,
 		reply:    decision,
-		deadline: now.Add(decisionTimeout),
+		deadline: now.Add(timeout),
 	}
-	l.waitingOrder = append(l.waitingOrder, r.ID)
+	*order = append(*order, r.ID)
 	l.outgoing.PlacementRequests = append(l.outgoing.PlacementRequests, r)
 }
 
+// refuseUnknownVersion returns the decision on a request that continues a stream whose version
+// nobody knows for certain. The caller has to begin anew.
+func refuseUnknownVersion(r dispatch.Request) dispatch.Decision {
+	return dispatch.Decision{
+		ID:     r.ID,
+		Reason: dispatch.UnknownVersion,
+		Inputs: dispatch.Inputs{
+			DecidedBy: dispatch.ByGateway,
+		},
+	}
+}
+
 // decideExpired decides locally on requests whose deadline for a decision has passed.
 func (l *Link) decideExpired(now time.Time) {
-	for len(l.waitingOrder) > 0 {
-		id := l.waitingOrder[0]
-		w, ok := l.waiting[id]
+	l.waitingOrder = l.decideExpiredOf(now, l.waitingOrder)
+	l.originOrder = l.decideExpiredOf(now, l.originOrder)
+}
+
+// decideExpiredOf decides locally on the expired ones of requests that are ordered by
+// deadline, and returns the others.
+func (l *Link) decideExpiredOf(now time.Time, order []uint64) []uint64 {
+	for len(order) > 0 {
+		w, ok := l.waiting[order[0]]
 		if ok && now.Before(w.deadline) {
-			return
+			return order
 		}
-		l.waitingOrder = l.waitingOrder[1:]
+		delete(l.waiting, order[0])
+		order = order[1:]
 		if ok {
-			delete(l.waiting, id)
 			l.decideLocally(now, w)
 		}
 	}
+	return nil
 }
 
 // placeLocally places a request with the gateway's own scheduler.
@@ -48,6 +78,7 @@
 		l.scheduler.DecideAlone(now)
 	}
 	d := l.scheduler.Place(now, l.settings.Name, r)
+	d.Version = r.Version
 	d.Inputs.DecidedBy = dispatch.ByGateway
 	l.setRetryAfter(now, r.Service, &d)
 	return d
--- a/gateway/internal/controller/receive.go
+++ b/gateway/internal/controller/receive.go
@@ -148,6 +148,9 @@
 			Digest:   w.request.Digest,
 		}, false)
 	}
+	if w.request.Version != "" {
+		d.Version = w.request.Version
+	}
 	d.Inputs.DecidedBy = dispatch.ByLeader
 	l.setRetryAfter(now, w.request.Service, &d)
 	w.reply <- d
@@ -167,6 +170,9 @@
 func (l *Link) requestAnother(now time.Time, w waiting, d dispatch.Decision) {
 	l.outgoing.Ended = append(l.outgoing.Ended, wire.NewEnded(d.ID, dispatch.Unsent))
 	w.request.Excluded = append(w.request.Excluded, l.scheduler.Declining(now, w.request.Service)...)
+	if d.Version != "" {
+		w.request.Version, w.request.Resumed = d.Version, true
+	}
 	l.waiting[d.ID] = w
 	l.outgoing.PlacementRequests = append(l.outgoing.PlacementRequests, w.request)
 	l.flush()
--- a/gateway/internal/controller/view.go
+++ b/gateway/internal/controller/view.go
@@ -3,6 +3,7 @@
 import (
 	"baobabpaddle/fleet/configuration"
 	"baobabpaddle/fleet/dispatch"
+	"baobabpaddle/fleet/origin"
 	"baobabpaddle/fleet/steady"
 )
 
@@ -28,6 +29,12 @@
 // keys.
 func (v *View) Proven() bool { return v.Table != nil && steady.Now().Before(v.ProvenUntil) }
 
+// ListRecent reports whether the list of upstreams is recent enough to begin streams that
+// callers may resume. The software versions of an older one may be forgotten by then.
+func (v *View) ListRecent() bool {
+	return steady.Now().Before(v.ProvenUntil.Add(origin.MaxListAge))
+}
+
 // Ready reports whether the gateway can serve: its configuration is proven to be recent and
 // it has upstreams.
 func (v *View) Ready() bool { return v.Proven() && len(v.Upstreams) > 0 }
--- a/gateway/internal/serve/fake_scheduler_test.go
+++ b/gateway/internal/serve/fake_scheduler_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"baobabpaddle/fleet/dispatch"
+	"baobabpaddle/fleet/origin"
 	"baobabpaddle/gateway/internal/controller"
 )
 
@@ -21,6 +22,9 @@
 	ended   []dispatch.Outcome
 	notices []dispatch.Notice
 	limits  []dispatch.RateLimitReport
+	begun   []origin.Batch
+	// version is stated in decisions on requests that continue a stream.
+	version string
 	// refused are the prompt tokens of locally refused requests by team.
 	refused map[string]int
 }
@@ -39,6 +43,7 @@
 			return dispatch.Decision{
 				ID:       r.ID,
 				Upstream: id,
+				Version:  f.version,
 			}
 		}
 	}
@@ -51,6 +56,12 @@
 
 func (f *fakeScheduler) ReportStarted(uint64) {}
 
+func (f *fakeScheduler) ReportBegun(s origin.Stream, o origin.Origin) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.begun = origin.AppendBatch(f.begun, s, o)
+}
+
 func (f *fakeScheduler) ReportOutcome(_ uint64, o dispatch.Outcome) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/gateway/internal/serve/forward.go
+++ b/gateway/internal/serve/forward.go
@@ -190,11 +190,14 @@
 	buffer := make([]byte, readBufferBytes)
 	control := http.NewResponseController(x.w)
 	first := true
-	resumed := x.headSent // until the first event
+	resumed := x.headSent || x.call.LastEvent != "" && x.continues // until the first event
 	for {
 		n, err := answer.Read(buffer)
 		if n > 0 {
 			before := string(x.events.lastID)
+			if before == "" && resumed {
+				before = x.call.LastEvent
+			}
 			if whole := x.events.next(buffer[:n]); len(whole) > 0 {
 				if resumed {
 					next, found := firstID(whole)
@@ -206,8 +209,12 @@
 				}
 				if first {
 					first = false
+					if err := x.recordOrigin(); err != nil {
+						x.events.lastID = []byte(before)
+						return x.breakStream(err)
+					}
 					x.handler.scheduler.ReportStarted(id)
-					if x.headSent || x.resumesCallersStream() {
+					if x.headSent || x.continues {
 						x.handler.counters.countResumption(!x.headSent)
 					}
 				}
@@ -224,7 +231,9 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			x.handler.pace.observe(x.tokensReceived(), time.Since(x.firstByteAt))
+			if !x.continues {
+				x.handler.pace.observe(x.tokensReceived(), time.Since(x.firstByteAt))
+			}
 			return x.finishStream(answer, !first)
 		}
 		if err == nil && x.events.partialSize() > x.handler.limits.EventBytes {
@@ -236,12 +245,6 @@
 	}
 }
 
-// resumesCallersStream reports whether the request resumes a stream of an earlier request of
-// the caller.
-func (x *exchange) resumesCallersStream() bool {
-	return x.call.Resumes != "" || x.call.LastEvent != ""
-}
-
 // tokensReceived returns the approximate number of tokens in the stream so far. Event
 // identifiers count from one; if the last one is not a number, the result is zero.
 func (x *exchange) tokensReceived() int {
--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -12,6 +12,7 @@
 	"baobabpaddle/fleet/call"
 	"baobabpaddle/fleet/configuration"
 	"baobabpaddle/fleet/dispatch"
+	"baobabpaddle/fleet/origin"
 	"baobabpaddle/fleet/problem"
 	"baobabpaddle/fleet/telemetry"
 	"baobabpaddle/fleet/trace"
@@ -49,6 +50,8 @@
 	Place(ctx context.Context, r dispatch.Request) dispatch.Decision
 	// ReportStarted reports that the answer to a placed request has started.
 	ReportStarted(id uint64)
+	// ReportBegun reports what began a stream whose first event is being forwarded.
+	ReportBegun(s origin.Stream, o origin.Origin)
 	// ReportOutcome reports how a placed request ended at its upstream.
 	ReportOutcome(id uint64, outcome dispatch.Outcome)
 	// ReportNotice reports that an upstream shuts down or wants no requests for a time.
@@ -264,12 +267,21 @@
 	// requestDigest is zero until digest computes it.
 	requestDigest uint64
 
+	// stream identifies the stream that the request begins or, if continues is true, the one
+	// of an earlier request that its caller resumes. It is zero if the answer can't be resumed.
+	stream    origin.Stream
+	continues bool
+	// version is the software version that began the stream; empty as long as it is not known.
+	version string
+
 	deadline time.Time
-	tried    []string // identifiers of the upstreams tried so far
-	// refusedConns is the number of upstreams tried that refused the connection, and
-	// connRefused whether the last one did. Nothing was sent to them.
-	refusedConns int
-	connRefused  bool
+	upstream dispatch.Upstream // that the request was sent to last
+	tried    []string          // identifiers of the upstreams tried so far
+	// unsentTo is the number of upstreams tried that nothing was sent to, since they refused
+	// the connection or run another software version, and nothingSent whether the last one is
+	// among them.
+	unsentTo    int
+	nothingSent bool
 	// mayHaveRun is true if an upstream may have run the request.
 	mayHaveRun bool
 	// retryCounted is true if the retry budget was already charged for the next attempt.
@@ -325,18 +337,23 @@
 		wait = min(wait, x.call.Timeout)
 	}
 	x.deadline = x.arrived.Add(wait)
-	x.service = x.route.Choose(rand.Float64())
+	x.identifyStream()
+	x.service = x.route.Choose(x.draw())
 	if x.outlastsDrain() {
 		x.refuse(http.StatusServiceUnavailable, problem.Draining, "this gateway stops soon", drainRetryAfter)
 		return false
 	}
+	if x.stream != 0 && !x.view.ListRecent() {
+		x.refuse(http.StatusServiceUnavailable, problem.NotReady, "the list of upstreams may be old", notReadyRetryAfter)
+		return false
+	}
 	if h.lag.shouldShed() {
 		x.w.Header().Set("Connection", "close")
 		x.refuse(http.StatusServiceUnavailable, problem.TooManyWaiting, "this gateway is short of processor time", shedRetryAfter)
 		x.reportLocalRefusal()
 		return false
 	}
-	if x.team != "" && !h.throttle.Allow(x.throttleKey(), x.arrived) {
+	if x.team != "" && !x.continues && !h.throttle.Allow(x.throttleKey(), x.arrived) {
 		x.reportLocalRefusal()
 		x.refuseWithReason(reasonOverShareLately, dispatch.Inputs{}, http.StatusTooManyRequests, problem.TooManyWaiting, overShareDetail, x.overShareRetryAfter())
 		return false
@@ -370,7 +387,7 @@
 // recordDecision records in the throttle the result of the request's first placement
 // decision: the time for which the team is refused, or zero if it was not refused.
 func (x *exchange) recordDecision(refusedFor time.Duration) {
-	if x.team != "" && len(x.tried) == 0 {
+	if x.team != "" && len(x.tried) == 0 && !x.continues {
 		x.handler.throttle.RecordDecision(x.throttleKey(), time.Now(), refusedFor)
 	}
 }
--- a/gateway/internal/serve/handler_test.go
+++ b/gateway/internal/serve/handler_test.go
@@ -83,6 +83,7 @@
 		g.scheduler.view.Upstreams[id] = dispatch.Upstream{
 			ID:      id,
 			Address: g.upstream(id, s),
+			Version: "v1",
 		}
 	}
 	protocol := platform.Headers{}
--- /dev/null
+++ b/gateway/internal/serve/origin.go
@@ -0,0 +1,64 @@
+package serve
+
+import (
+	"math/rand/v2"
+
+	"github.com/ansel1/merry/v2"
+
+	"baobabpaddle/fleet/configuration"
+	"baobabpaddle/fleet/origin"
+)
+
+// errOtherVersion means that an upstream runs another software version than the one that began
+// the stream.
+var errOtherVersion = merry.Sentinel("the upstream runs another software version than the one that began the stream")
+
+// identifyStream sets stream and continues. A request that names only the last event of a
+// stream continues one that nothing identifies.
+func (x *exchange) identifyStream() {
+	if x.route.Kind != configuration.Stream || !x.route.Resumable {
+		return
+	}
+	attempt := x.call.ID
+	if x.call.Resumes != "" || x.call.LastEvent != "" {
+		x.continues = true
+		attempt = x.call.Resumes
+	}
+	if attempt != "" {
+		x.stream = origin.NewStream(x.team, attempt)
+	}
+}
+
+// draw returns the number by which the route chooses a service. It is the same for all
+// requests of one stream.
+func (x *exchange) draw() float64 {
+	if x.stream != 0 {
+		return x.stream.Fraction()
+	}
+	return rand.Float64()
+}
+
+// recordOrigin records which software version begins a stream, before its first event is
+// forwarded. For a stream that goes on it returns errOtherVersion unless the upstream runs the
+// version that began it. An upstream that the list shows with another version than when the
+// request was sent may have restarted in between, so its version is not known.
+func (x *exchange) recordOrigin() error {
+	version := x.upstream.Version
+	if listed, ok := x.handler.scheduler.View().Upstreams[x.upstream.ID]; ok && listed.Version != version {
+		version = ""
+	}
+	if x.headSent || x.continues {
+		if version == "" || version != x.version {
+			return errOtherVersion
+		}
+		return nil
+	}
+	x.version = version
+	if x.stream != 0 {
+		x.handler.scheduler.ReportBegun(x.stream, origin.Origin{
+			Service: x.service,
+			Version: version,
+		})
+	}
+	return nil
+}
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -64,6 +64,18 @@
 			x.refuseUnplaced(d)
 			return
 		}
+		if x.continues && d.Version == "" {
+			// The leader is an older one, which knows no software versions.
+			h.scheduler.ReportOutcome(d.ID, dispatch.Unsent)
+			x.refuseUnplaced(dispatch.Decision{
+				Reason: dispatch.UnknownVersion,
+				Inputs: d.Inputs,
+			})
+			return
+		}
+		if x.continues {
+			x.version = d.Version
+		}
 		x.requestLog().Step(time.Now(), trace.Placed{
 			RequestInfo: x.requestInfo(),
 			Upstream:    d.Upstream,
@@ -99,10 +111,10 @@
 	switch {
 	case result == pastDeadline || !time.Now().Before(x.deadline):
 		return "deadline"
-	case x.sentTo() >= attempts || x.refusedConns >= maxRefusedConns:
+	case x.sentTo() >= attempts || x.unsentTo >= maxUnsent:
 		return "attempts"
-	case x.connRefused:
-		return "" // nothing was sent, so the budget is not charged again
+	case x.nothingSent:
+		return "" // the budget is not charged again
 	case result != notRun && !x.route.Idempotent():
 		return "may_have_run"
 	case !x.canContinueElsewhere():
@@ -114,16 +126,17 @@
 }
 
 // canContinueElsewhere reports whether another upstream can go on with the answer. Of an
-// answer that has begun it can only continue a stream whose events have identifiers.
+// answer that has begun it can only continue a stream whose events have identifiers, at the
+// software version that began it.
 func (x *exchange) canContinueElsewhere() bool {
-	return !x.headSent || x.route.Kind == configuration.Stream && len(x.events.lastID) > 0
+	return !x.headSent || x.route.Kind == configuration.Stream && len(x.events.lastID) > 0 && x.version != ""
 }
 
-// maxRefusedConns is the number of upstreams that may refuse the connection of one request.
-const maxRefusedConns = 4
+// maxUnsent is the number of upstreams that are chosen for one request without getting it.
+const maxUnsent = 4
 
 // sentTo returns the number of upstreams that the request was sent to.
-func (x *exchange) sentTo() int { return len(x.tried) - x.refusedConns }
+func (x *exchange) sentTo() int { return len(x.tried) - x.unsentTo }
 
 // mayRetry reports whether the retry budget allows another attempt, and charges the
 // budget for it unless a stall timeout has done so already.
@@ -151,6 +164,9 @@
 		Resumed:    x.headSent || x.mayHaveRun,
 		Digest:     x.digest(),
 		Idempotent: x.route.Idempotent(),
+		Stream:     x.stream,
+		Continues:  x.continues,
+		Version:    x.version,
 	}
 }
 
@@ -172,6 +188,8 @@
 		x.refuseWithReason(d.Reason, d.Inputs, http.StatusServiceUnavailable, problem.TooManyWaiting, "the rate limits of all upstreams are used up", retry)
 	case dispatch.Quarantined:
 		x.refuseQuarantined(d)
+	case dispatch.UnknownVersion, dispatch.VersionUnavailable:
+		x.refuseContinuation(d)
 	case dispatch.NoUpstream:
 		x.refuseWithReason(d.Reason, d.Inputs, http.StatusServiceUnavailable, problem.NoUpstream, "no upstream takes requests", retry)
 	default:
@@ -179,6 +197,16 @@
 	}
 }
 
+// refuseContinuation refuses a request that continues a stream. Without a retry delay the stream
+// can't be resumed at all, and its caller has to begin a new one.
+func (x *exchange) refuseContinuation(d dispatch.Decision) {
+	detail := "the software version that began the stream is not known"
+	if d.Reason == dispatch.VersionUnavailable {
+		detail = "no upstream runs the software version that began the stream"
+	}
+	x.refuseWithReason(d.Reason, d.Inputs, http.StatusServiceUnavailable, problem.NotResumable, detail, d.RetryAfter)
+}
+
 // refuseQuarantined refuses a request that crashes upstreams, or one with a prompt segment
 // that does. Without a retry delay the refusal is final: callers don't retry a request with
 // status 400.
@@ -231,7 +259,7 @@
 // the result.
 func (x *exchange) attempt(d dispatch.Decision) outcome {
 	started := time.Now()
-	x.connRefused = false
+	x.nothingSent = false
 	step := trace.Tried{
 		Upstream: d.Upstream,
 	}
@@ -264,6 +292,14 @@
 		return notRun
 	}
 	step.Version = destination.Version
+	if x.version != "" && destination.Version != x.version {
+		step.Cause = errOtherVersion.Error()
+		x.nothingSent = true
+		x.unsentTo++
+		h.scheduler.ReportOutcome(d.ID, dispatch.Unsent)
+		return notRun
+	}
+	x.upstream = destination
 	answer, err := h.client.Send(x.r.Context(), destination.Address, x.upstreamRequest(destination.ID))
 	if err != nil {
 		step.Cause = err.Error()
@@ -332,8 +368,8 @@
 		h.scheduler.ReportOutcome(id, dispatch.CallerLeft)
 		return callerLeft
 	case errors.Is(err, syscall.ECONNREFUSED):
-		x.connRefused = true
-		x.refusedConns++
+		x.nothingSent = true
+		x.unsentTo++
 		h.scheduler.ReportOutcome(id, dispatch.ConnectionRefused)
 		return notRun
 	case errors.Is(err, upstream.ErrUnreachable):
--- a/gateway/internal/serve/versions_test.go
+++ b/gateway/internal/serve/versions_test.go
@@ -1,10 +1,15 @@
 package serve
 
 import (
+	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"baobabpaddle/fleet/origin"
+	"baobabpaddle/fleet/steady"
 )
 
 // setVersions sets the software versions of the upstreams a, b, … of a gateway.
@@ -58,3 +63,94 @@
 		})
 	}
 }
+
+// TestReturningCallerGoesOnAtItsSoftwareVersion covers streams that callers take up again when the
+// scheduler knows the version that began them.
+func TestReturningCallerGoesOnAtItsSoftwareVersion(t *testing.T) {
+	takeUp := []string{"X-Api-Key", "key-1", "Resumes", "9c41", "Last-Event-Id", "1"}
+	for name, c := range map[string]struct {
+		versions []string
+		answers  []script
+		status   int
+		body     string
+		requests int
+	}{
+		"same version":              {[]string{"v1"}, []script{eventStream(event2, true)}, 200, event2, 1},
+		"another version first":     {[]string{"v2", "v1"}, []script{hangUp, eventStream(event2, true)}, 200, event2, 1},
+		"another version only":      {[]string{"v2"}, []script{eventStream(event2, true)}, 503, "", 0},
+		"an unversioned upstream":   {[]string{""}, []script{eventStream(event2, true)}, 503, "", 0},
+		"the first event once more": {[]string{"v1"}, []script{eventStream(event1+event2, true)}, 502, "", 1},
+		"a failure, then an answer": {[]string{"v1", "v2", "v1"}, []script{hangUp, hangUp, eventStream(event2, true)}, 200, event2, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := newTestGateway(t, c.answers...)
+			g.setVersions(c.versions...)
+			g.scheduler.version = "v1"
+			response, body, err := g.send("/chat/", takeUp...)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, c.status)
+			if c.status == http.StatusOK {
+				is.Equal(body, c.body)
+			}
+			is.Equal(g.requestCount(), c.requests)
+			is.Equal(len(g.scheduler.begun), 0) // another attempt began it
+			for _, r := range g.received {
+				is.Equal(r.Header.Get("Last-Event-Id"), "1")
+			}
+		})
+	}
+}
+
+// TestBeginningOfStreamIsReported checks that the version which begins a stream is reported under
+// the attempt and the team, and only for streams that can be resumed.
+func TestBeginningOfStreamIsReported(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(t, eventStream(event1, true))
+	for _, path := range []string{"/chat/", "/draft/"} {
+		_, _, err := g.send(path, "X-Api-Key", "key-1")
+		is.NoErr(err)
+	}
+	is.Equal(g.scheduler.begun, []origin.Batch{{
+		Service: "desk",
+		Version: "v1",
+		Streams: []origin.Stream{origin.NewStream("north", "id-1")},
+	}})
+}
+
+// TestRestartInPlaceLeavesNoVersion guards against a stream that counts as begun at the version
+// that an upstream had before it restarted under its identifier.
+func TestRestartInPlaceLeavesNoVersion(t *testing.T) {
+	is := is.New(t)
+	var g *testGateway
+	g = newTestGateway(t, func(w net.Conn, r *http.Request) bool {
+		g.setVersions("v2")
+		return eventStream(event1, false)(w, r)
+	}, eventStream(event2, true))
+	_, body, err := g.send("/chat/", "X-Api-Key", "key-1")
+	is.True(err != nil)
+	is.Equal(body, event1)
+	is.Equal(g.requestCount(), 1)
+	is.Equal(g.scheduler.begun[0].Version, "")
+}
+
+// TestOldListBeginsNoStream guards against streams that begin at versions which the fleet has
+// forgotten: a gateway that was cut off for long begins none that can be resumed.
+func TestOldListBeginsNoStream(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(t, eventStream(event1, true))
+	route := g.scheduler.view.Table.Route("a", "/chat/")
+	route.WithoutKey = true
+	g.scheduler.view.ProvenUntil = steady.Now().Add(-origin.MaxListAge + time.Minute)
+	response, _, err := g.send("/chat/")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	g.scheduler.view.ProvenUntil = steady.Now().Add(-origin.MaxListAge)
+	response, _, err = g.send("/chat/")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	route.Resumable = false
+	response, _, err = g.send("/chat/")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+}
