--- a/controller/internal/gateway/origins.go
+++ b/controller/internal/gateway/origins.go
@@ -12,7 +12,7 @@
 
 // recordDelay is the time for which streams are gathered before they are recorded together.
 // Those of the last moments before a loss of power can't be resumed.
-const recordDelay = 40 * time.Millisecond
+const recordDelay = 20 * time.Millisecond
 
 // originResult is the end of a proposed change of the history of streams.
 type originResult struct {
