serve: no late request of a planned stop is taken on an estimate

Another operator's report: in a planned stop in calm, requests that came late in the grace period were taken and cut at its end without an answer, among them requests that may not be repeated.

Cause: a stream was admitted by an estimate of its time from the usual pace, without a margin; upstreams that turn slow make it longer. Class: an admission by estimate where only a bound is safe.

A draining gateway now takes a request only if its deadline is 300 ms before the end. The estimate counts for streams that their callers can resume, and only until the load balancer has noticed. Looked for elsewhere: the gateway with sidecars hands its runs over and estimates nothing.

--- a/bench/internal/soak/upstream.go
+++ b/bench/internal/soak/upstream.go
@@ -44,6 +44,8 @@
 	// or zero. Limited are the times at which requests arrived while it stated one.
 	rateLimit float64
 	limited   []time.Time
+	// eventPause is a further pause before each event of a stream.
+	eventPause time.Duration
 	// misbehave, unless it is nil, may answer an execution instead, and reports whether it did.
 	misbehave func(w http.ResponseWriter, r *http.Request, a *Attempt, e *Execution) bool
 
@@ -378,7 +380,7 @@
 		select {
 		case <-r.Context().Done():
 			return
-		case <-time.After(time.Duration(5+rand.IntN(15)) * time.Millisecond):
+		case <-time.After(u.pause()):
 		}
 		text := fmt.Sprintf("id: %d\ndata: %s %d\n\n", event, a.ID, number)
 		if truncate && event > a.Events/2 {
@@ -392,6 +394,13 @@
 	u.ledger.RecordAnswer(execution, true)
 }
 
+// pause returns the pause before the next event of a stream.
+func (u *Upstream) pause() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.eventPause + time.Duration(5+rand.IntN(15))*time.Millisecond
+}
+
 // hadID reports whether an incarnation of the upstream has or had the identifier.
 func (u *Upstream) hadID(id string) bool {
 	u.mu.Lock()
--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -29,6 +29,8 @@
 	// drainRetryAfter is the retry delay while the gateway drains. It is short because
 	// the caller is meant to return to another gateway.
 	drainRetryAfter = 20 * time.Millisecond
+	// drainMargin is the time before the end of a drain by which answers must be complete.
+	drainMargin = 300 * time.Millisecond
 	// hintMargin is the multiple of the caller's hint that the number of generated tokens
 	// rarely exceeds: hints are right at the median, and one in a hundred is three times
 	// too low.
@@ -78,12 +80,15 @@
 
 	nextID   atomic.Uint64
 	inFlight atomic.Int64
-	drainEnd atomic.Int64 // in Unix nanoseconds; zero while not draining
-	pace     tokenPace
-	lag      Lag
-	throttle dispatch.Throttle
-	limits   Limits
-	bodies   byteBudget
+	// drainStart and drainEnd are in Unix nanoseconds; zero while not draining.
+	drainStart   atomic.Int64
+	drainEnd     atomic.Int64
+	unreadyDelay time.Duration
+	pace         tokenPace
+	lag          Lag
+	throttle     dispatch.Throttle
+	limits       Limits
+	bodies       byteBudget
 
 	trace            *trace.Log
 	requestSeconds   *telemetry.Histograms
@@ -99,6 +104,9 @@
 	// MaxConns is the maximum number of open connections of callers.
 	MaxConns int
 	Limits   Limits
+	// UnreadyDelay is how long the load balancer sends callers after the gateway has stopped
+	// being ready.
+	UnreadyDelay time.Duration
 	// ProcessorShare is the fraction of a processor core that the process may use. Zero
 	// means that it is unknown, which disables overload detection.
 	ProcessorShare float64
@@ -117,6 +125,8 @@
 		counters:  newCounters(metrics),
 		budget:    newRetryBudget(s.Retry),
 		limits:    s.Limits,
+
+		unreadyDelay: s.UnreadyDelay,
 		bodies: byteBudget{
 			limit: s.Limits.TotalBodyBytes,
 		},
@@ -160,19 +170,24 @@
 
 // Drain starts draining: from now on connections are closed after the next answer, and
 // requests that may not be finished by end are refused. It does not wait.
-func (h *Handler) Drain(end time.Time) { h.drainEnd.Store(end.UnixNano()) }
+func (h *Handler) Drain(end time.Time) {
+	h.drainStart.Store(time.Now().UnixNano())
+	h.drainEnd.Store(end.UnixNano())
+}
 
-// outlastsDrain reports whether the request may run beyond the end of the drain. The
-// longest run assumed is the time to the deadline, or for a stream with a known output
-// limit the estimated time of the stream if that is shorter.
+// outlastsDrain reports whether the request may run beyond the end of the drain. The longest
+// run assumed is the time to the deadline. For a stream that its caller can resume elsewhere,
+// and that arrives before the load balancer has noticed the drain, it is the estimated time of
+// the stream if that is shorter.
 func (x *exchange) outlastsDrain() bool {
 	end := x.handler.drainEnd.Load()
 	if end == 0 {
 		return false
 	}
-	left := time.Until(time.Unix(0, end))
+	left := time.Until(time.Unix(0, end)) - drainMargin
 	longest := time.Until(x.deadline)
-	if x.route.Kind == configuration.Stream && x.call.Prompt.MaxOutput > 0 {
+	early := time.Since(time.Unix(0, x.handler.drainStart.Load())) < x.handler.unreadyDelay
+	if early && x.route.Kind == configuration.Stream && x.route.Resumable && x.call.Prompt.MaxOutput > 0 {
 		longest = min(longest, x.route.Objective()+x.handler.pace.estimate(likelyMaxTokens(x.call.Prompt)))
 	}
 	return longest > left
--- a/gateway/internal/serve/handler_test.go
+++ b/gateway/internal/serve/handler_test.go
@@ -34,6 +34,9 @@
 	"limits":{"max_body_bytes":1000,"max_header_bytes":2000},
 	"teams":[{"name":"north","keys":["key-1"]}]}`
 
+// testUnreadyDelay is the UnreadyDelay of test gateways.
+const testUnreadyDelay = 2500 * time.Millisecond
+
 // script answers one request as an upstream. Returning false closes the connection.
 type script func(w net.Conn, r *http.Request) bool
 
@@ -88,8 +91,9 @@
 	}
 	protocol := platform.Headers{}
 	g.handler = New(Settings{
-		MaxConns: 1000,
-		Limits:   testLimits,
+		MaxConns:     1000,
+		Limits:       testLimits,
+		UnreadyDelay: testUnreadyDelay,
 		Retry: RetrySettings{
 			Ratio:  0.2,
 			Slack:  20,
@@ -345,6 +349,31 @@
 	is.Equal(g.requestCount(), 1)
 }
 
+// TestLateRequestOfDrainIsNotEstimated guards against streams that a draining gateway cuts at the
+// end of its grace period since they took longer than estimated: late ones and those that can't
+// be resumed are taken only if their deadlines allow it.
+func TestLateRequestOfDrainIsNotEstimated(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(t, eventStream(event1, true))
+	tokens := []string{"X-Api-Key", "key-1", "Baobabpaddle-Token-Count", "10,10"}
+	for _, c := range []struct {
+		path   string
+		age    time.Duration // of the drain
+		status int
+	}{
+		{"/chat/", 0, 200},
+		{"/draft/", 0, 503},
+		{"/chat/", testUnreadyDelay, 503},
+	} {
+		g.handler.Drain(time.Now().Add(2 * time.Second)) // the timeout of the routes
+		g.handler.drainStart.Add(-int64(c.age))
+		response, _, err := g.send(c.path, tokens...)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, c.status)
+	}
+	is.Equal(g.requestCount(), 1)
+}
+
 // TestRefusalCarriesRetryAfter checks that the delay in Retry-After keeps fractions of a
 // second.
 func TestRefusalCarriesRetryAfter(t *testing.T) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -145,6 +145,7 @@
 			EventBytes:     s.Answers.EventBytes,
 			TotalBodyBytes: s.bodyBytes(),
 		},
+		UnreadyDelay:   unreadyDelay,
 		ProcessorShare: s.ProcessorShare,
 		Retry: serve.RetrySettings{
 			Ratio:  s.RetryRatio,
