platform, jsonlist: one odd entry leaves the rest of the list readable

Class: a reader for which one writer's part spoils the whole.

The elements of a list are told apart before they are decoded, one by one; behind one whose end can't be found, reading goes on with the next object or the end of the list, within a bound. Other readers of outside bytes: configuration bodies (an error, nothing changes), CBOR between processes (a limit of 32 levels closes the link), heads of answers (bounded): no fault found.

--- a/controller/internal/platform/platform.go
+++ b/controller/internal/platform/platform.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"baobabpaddle/fleet/jsonlist"
 )
 
 // Timings and limits of reading the list.
@@ -65,10 +67,21 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, merry.Errorf("the platform answered the request for the list of hosts with status %s, want 200", response.Status)
 	}
-	var hosts []Host
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&hosts); err != nil {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
+	if err != nil {
+		return nil, merry.Prepend(err, "read the list of hosts")
+	}
+	entries, _, err := jsonlist.Split(data, "")
+	if err != nil {
 		return nil, merry.Prepend(err, "decode the list of hosts")
 	}
+	var hosts []Host
+	for _, raw := range entries {
+		var h Host
+		if json.Unmarshal(raw, &h) == nil && h.Name != "" {
+			hosts = append(hosts, h) // malformed entries are those of other writers
+		}
+	}
 	return hosts, nil
 }
 
