serve: a take-up keeps the rights of a resumed request at its second upstream

Their version was known and the first upstream of it was not reached; the second request for a placement named the version and was not marked as resumed. Failed before: TestContinuationStaysAdmitted.

--- a/gateway/internal/serve/fake_scheduler_test.go
+++ b/gateway/internal/serve/fake_scheduler_test.go
@@ -23,6 +23,8 @@
 	notices []dispatch.Notice
 	limits  []dispatch.RateLimitReport
 	begun   []origin.Batch
+	// placed are the requests for placement.
+	placed []dispatch.Request
 	// version is stated in decisions on requests that continue a stream.
 	version string
 	// refused are the prompt tokens of locally refused requests by team.
@@ -34,6 +36,7 @@
 func (f *fakeScheduler) Place(_ context.Context, r dispatch.Request) dispatch.Decision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.placed = append(f.placed, r)
 	if f.refuse != nil {
 		return *f.refuse
 	}
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -161,7 +161,7 @@
 		Objective:  x.route.Objective(),
 		Remaining:  time.Until(x.deadline),
 		Excluded:   x.tried,
-		Resumed:    x.headSent || x.mayHaveRun,
+		Resumed:    x.headSent || x.mayHaveRun || x.version != "",
 		Digest:     x.digest(),
 		Idempotent: x.route.Idempotent(),
 		Stream:     x.stream,
--- a/gateway/internal/serve/versions_test.go
+++ b/gateway/internal/serve/versions_test.go
@@ -102,6 +102,24 @@
 	}
 }
 
+// TestContinuationStaysAdmitted guards against a caller's stream that is refused for its team's
+// share, like new work, because the first upstream of its version was not reached.
+func TestContinuationStaysAdmitted(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(t, hangUp, eventStream(event2, true))
+	g.mu.Lock()
+	g.listeners["a"].Close()
+	g.mu.Unlock()
+	g.scheduler.version = "v1"
+	response, _, err := g.send("/chat/", "X-Api-Key", "key-1", "Resumes", "9c41", "Last-Event-Id", "1")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(len(g.scheduler.placed), 2)
+	is.True(!g.scheduler.placed[0].Resumed) // the scheduler decides that by the origin
+	is.True(g.scheduler.placed[1].Resumed)
+	is.Equal(g.scheduler.placed[1].Version, "v1")
+}
+
 // TestBeginningOfStreamIsReported checks that the version which begins a stream is reported under
 // the attempt and the team, and only for streams that can be resumed.
 func TestBeginningOfStreamIsReported(t *testing.T) {
