operator: the first configuration needs an odd number of voters

With two or four controllers with a disk the first configuration was answered 503 for ever: as many voters were wanted as there are disks, and the leader keeps the number of voters odd. The largest odd number of disks is wanted now. Its stand-in for the executor returned a result without a code, which is answered 422; it returns an accepted change now, and the check of the status is as it was.

--- a/controller/internal/operator/configuration.go
+++ b/controller/internal/operator/configuration.go
@@ -152,8 +152,9 @@
 }
 
 // enoughVoters reports whether a configuration would survive the loss of the tolerated
-// number of hosts, which takes 2n+1 voters for n hosts, or all controllers with a disk
-// if there are fewer. Only the first configuration waits for that; later ones are
+// number of hosts, which takes 2n+1 voters for n hosts, or the largest odd number of
+// controllers with a disk if there are fewer: an even number of voters tolerates no more
+// losses, so the leader keeps it odd. Only the first configuration waits for that; later ones are
 // accepted whenever there is a quorum.
 func (c *ConfigurationAPI) enoughVoters(r *replica.Replica) bool {
 	configured := false
@@ -162,7 +163,11 @@
 		return true
 	}
 	committed := r.Status().CommittedMembers
-	return committed.Voters() >= min(2*c.toleratedHosts+1, c.directory.DiskControllers())
+	disks := c.directory.DiskControllers()
+	if disks > 0 && disks%2 == 0 {
+		disks--
+	}
+	return committed.Voters() >= min(2*c.toleratedHosts+1, disks)
 }
 
 // get answers with the newest committed configuration.
--- a/controller/internal/operator/enough_voters_test.go
+++ b/controller/internal/operator/enough_voters_test.go
@@ -27,7 +27,9 @@
 
 // Execute implements Executor.
 func (g gathered) Execute(context.Context, state.Command, uint32) (state.Result, error) {
-	return state.Result{}, nil
+	return state.Result{
+		Code: state.CodeOK,
+	}, nil
 }
 
 // TestEvenNumberOfDisksTakesTheFirstConfiguration guards against a fleet that never takes
