--- a/fleet/trace/explain.go
+++ b/fleet/trace/explain.go
@@ -105,6 +105,9 @@
 		}
 		return fmt.Sprintf("prompt segment %s is quarantined: %.0f upstreams crashed with requests that hold it, and none answered one since; the next trial was due in %.0f ms",
 			l.Text(KeySegment), l.Number(KeyCrashes), l.Number(KeyTrialIn))
+	case string(dispatch.UnknownVersion), string(dispatch.VersionUnavailable):
+		return fmt.Sprintf("%s; attempt %s of its caller began the stream, and event %s is the last one that the caller has",
+			l.Text(KeyCause), l.Text(KeyResumes), l.Text(KeyResumesAfter))
 	case "not_ready":
 		return fmt.Sprintf("%s; its proof that version %.0f is the newest had %.0f ms left", l.Text(KeyCause), l.Number(KeyConfiguration), l.Number(KeyProofLeft))
 	}
--- a/fleet/trace/explain_test.go
+++ b/fleet/trace/explain_test.go
@@ -153,6 +153,20 @@
 	is.Equal(explain("over_share"), "upstreams of llm state rate limits (2.6 requests a second at the one that takes the next), and their next requests are left to teams that received less than north")
 }
 
+// TestExplainRefusedTakeUp explains the refusal of a request that resumes a stream.
+func TestExplainRefusedTakeUp(t *testing.T) {
+	is := is.New(t)
+	got := explainRefusal(Line{
+		Fields: map[string]any{
+			KeyReason:       "unknown_version",
+			KeyCause:        "the software version that began the stream is not known",
+			KeyResumes:      "9c41",
+			KeyResumesAfter: "7",
+		},
+	})
+	is.Equal(got, "the software version that began the stream is not known; attempt 9c41 of its caller began the stream, and event 7 is the last one that the caller has")
+}
+
 // TestLogRateLimits logs limits that begin, change, stay and end.
 func TestLogRateLimits(t *testing.T) {
 	is := is.New(t)
