origin: continuations of one stream have the rights of admitted work eight times

A request that continues a stream is not refused for its team's share. A team could begin one stream and continue it any number of times. The leader, and a gateway that decides alone, count the placements of each stream; beyond eight they are decided like new work. Test: TestAllowanceIsBounded.

--- a/controller/internal/gateway/hub.go
+++ b/controller/internal/gateway/hub.go
@@ -105,6 +105,8 @@
 	// reports whether the last change of the history failed.
 	origins       *origin.Keeper
 	originsFailed bool
+	// continuations are the placements of requests that continue streams.
+	continuations origin.Allowance
 	// listed is the platform's list as it was read last. The published one lacks upstreams
 	// whose software versions are not recorded.
 	listed  []dispatch.Upstream
--- a/controller/internal/gateway/origins.go
+++ b/controller/internal/gateway/origins.go
@@ -138,14 +138,19 @@
 		})
 		return
 	}
-	r.Version, r.Resumed = began.Version, true
+	r.Version = began.Version
 	h.place(c, r)
 }
 
-// place has the scheduler decide on a gateway's request.
+// place has the scheduler decide on a gateway's request. One that continues a stream was
+// admitted before.
 func (h *Hub) place(c *conn, r dispatch.Request) {
+	now := time.Now()
+	if r.Continues {
+		r.Resumed = h.continuations.Take(now, r.Stream)
+	}
 	c.traffic.add(r.Weight())
-	d := h.scheduler.Place(time.Now(), c.name, r)
+	d := h.scheduler.Place(now, c.name, r)
 	d.Version = r.Version
 	h.replies[c] = append(h.replies[c], d)
 }
--- a/controller/internal/gateway/origins_test.go
+++ b/controller/internal/gateway/origins_test.go
@@ -232,4 +232,8 @@
 	}
 	h.list("v2")
 	is.Equal(h.takeUp(c, 2, false).Reason, dispatch.VersionUnavailable)
+	for range origin.MaxContinuations - 1 { // one was placed above
+		is.True(h.continuations.Take(time.Now(), 4))
+	}
+	is.True(!h.continuations.Take(time.Now(), 4))
 }
--- a/gateway/internal/controller/place.go
+++ b/gateway/internal/controller/place.go
@@ -16,7 +16,7 @@
 			decision <- refuseUnknownVersion(r)
 			return
 		}
-		r.Version, r.Resumed = known.Version, true
+		r.Version = known.Version
 	}
 	if l.conn == nil {
 		decision <- l.placeLocally(now, r)
@@ -77,6 +77,9 @@
 		l.alone = true
 		l.scheduler.DecideAlone(now)
 	}
+	if r.Continues {
+		r.Resumed = l.continuations.Take(now, r.Stream)
+	}
 	d := l.scheduler.Place(now, l.settings.Name, r)
 	d.Version = r.Version
 	d.Inputs.DecidedBy = dispatch.ByGateway
--- a/gateway/internal/controller/receive.go
+++ b/gateway/internal/controller/receive.go
@@ -171,7 +171,7 @@
 	l.outgoing.Ended = append(l.outgoing.Ended, wire.NewEnded(d.ID, dispatch.Unsent))
 	w.request.Excluded = append(w.request.Excluded, l.scheduler.Declining(now, w.request.Service)...)
 	if d.Version != "" {
-		w.request.Version, w.request.Resumed = d.Version, true
+		w.request.Version = d.Version
 	}
 	l.waiting[d.ID] = w
 	l.outgoing.PlacementRequests = append(l.outgoing.PlacementRequests, w.request)
