--- a/fleet/dispatch/evidence.go
+++ b/fleet/dispatch/evidence.go
@@ -19,12 +19,6 @@
 	// maxTrialCrashes engines may crash, this one included, for the trial to have failed.
 	isolationWindow = 100 * time.Millisecond
 	maxTrialCrashes = 2
-	// Upstreams that crash within isolationWindow don't do so because of requests if they are
-	// minCommonCrashes or more, commonCrashFraction of the listed ones of their service, and
-	// commonWorkingFraction of those that had requests: the crash of an idle one is not seen.
-	minCommonCrashes      = 4
-	commonCrashFraction   = 0.5
-	commonWorkingFraction = 0.8
 	// maxCrashTimes is the number of crashes whose times are kept.
 	maxCrashTimes = 64
 	// answeredMemory is the time for which the subjects of present answers are not
@@ -238,9 +232,6 @@
 		}
 	}
 	s.quarantine.RecordCrash(now, p.placedAt, crash, found)
-	if s.commonCrash(now, p.engine.Service) {
-		s.quarantine.ForgetSince(now, now.Add(-isolationWindow))
-	}
 	if s.unmarkTrial(p) != nil {
 		s.crashedTrials = append(s.crashedTrials, crashedTrial{
 			subjects:  found,
@@ -250,22 +241,6 @@
 	}
 }
 
-// commonCrash reports whether nearly all upstreams of a service have just crashed together.
-func (s *Scheduler) commonCrash(now time.Time, service string) bool {
-	crashed, working := 0, 0
-	for _, e := range s.services[service] {
-		switch {
-		case e.crash != 0 && now.Sub(e.crashedAt) <= isolationWindow:
-			crashed++
-		case e.running > 0:
-			working++
-		}
-	}
-	return crashed >= minCommonCrashes &&
-		float64(crashed) >= commonCrashFraction*float64(len(s.services[service])) &&
-		float64(crashed) >= commonWorkingFraction*float64(crashed+working)
-}
-
 // crashOf returns the identifier of the upstream's present crash.
 func (s *Scheduler) crashOf(now time.Time, e *engine) uint64 {
 	if e.crash == 0 || now.Sub(e.crashedAt) > crashWindow {
--- a/fleet/quarantine/record.go
+++ b/fleet/quarantine/record.go
@@ -39,9 +39,6 @@
 	Answered Cause = "answered"
 	// ByOperator: an operator released the subject.
 	ByOperator Cause = "operator"
-	// CommonCrash: nearly all engines of the service crashed together, so no request was the
-	// cause.
-	CommonCrash Cause = "common_crash"
 	// Unused: no request held the subject for idleTimeout.
 	Unused Cause = "unused"
 	// Reported: another process reported the record.
--- a/fleet/quarantine/register.go
+++ b/fleet/quarantine/register.go
@@ -189,16 +189,6 @@
 	}
 }
 
-// ForgetSince forgets the subjects whose evidence has grown since a time and was weak before:
-// it came from a crash that no request caused.
-func (r *Register) ForgetSince(now, since time.Time) {
-	for id, e := range r.entries {
-		if e.rounds <= restrictRounds && !e.lastRound.Before(since) {
-			r.remove(now, id, CommonCrash)
-		}
-	}
-}
-
 // Release releases a subject at an operator's request.
 func (r *Register) Release(now time.Time, id uint64) { r.remove(now, id, ByOperator) }
 
