--- a/controller/internal/gateway/hub.go
+++ b/controller/internal/gateway/hub.go
@@ -63,12 +63,12 @@
 	frame          wire.Serve
 	upstreams      []dispatch.Upstream
 	confirmedPings []ping
-	// confirmedTakeUps are requests for which the state was read with the confirmation of a
+	// confirmedContinuations are requests for which the state was read with the confirmation of a
 	// majority.
-	confirmedTakeUps []takeUp
-	originResult     *originResult
-	configuration    *preparedConfiguration // may come with confirmedPings
-	recorded         *recordedQuarantine
+	confirmedContinuations []continuation
+	originResult           *originResult
+	configuration          *preparedConfiguration // may come with confirmedPings
+	recorded               *recordedQuarantine
 }
 
 // ping is a gateway's request for a proof that its configuration is the newest.
@@ -87,7 +87,7 @@
 
 	events       chan event
 	pings        chan ping
-	takeUps      chan takeUp
+	unconfirmed  chan continuation
 	linked       atomic.Int64
 	listRequests chan struct{}
 	// nextDecay is when the traffic of gateways is halved next.
@@ -105,8 +105,8 @@
 	// reports whether the last change of the history failed.
 	origins       *origin.Keeper
 	originsFailed bool
-	// continuations are the placements of requests that continue streams.
-	continuations origin.Allowance
+	// allowance counts the placements of requests that continue streams.
+	allowance origin.Allowance
 	// listed is the platform's list as it was read last. The published one lacks upstreams
 	// whose software versions are not recorded.
 	listed  []dispatch.Upstream
@@ -138,7 +138,7 @@
 		log:          log,
 		events:       make(chan event, eventQueueSize),
 		pings:        make(chan ping, eventQueueSize),
-		takeUps:      make(chan takeUp, eventQueueSize),
+		unconfirmed:  make(chan continuation, eventQueueSize),
 		sampler:      newMetricsSampler(metrics),
 		listRequests: make(chan struct{}, 1),
 	}
@@ -172,7 +172,7 @@
 func (h *Hub) Run(ctx context.Context) {
 	go h.answerPings(ctx)
 	go h.watchConfiguration(ctx)
-	go h.confirmTakeUps(ctx)
+	go h.confirmContinuations(ctx)
 	recording := time.NewTimer(time.Hour)
 	defer recording.Stop()
 	armed := false
@@ -247,8 +247,8 @@
 		h.receive(e.from, e.frame)
 	case e.upstreams != nil:
 		h.setUpstreams(e.upstreams)
-	case e.confirmedTakeUps != nil:
-		for _, t := range e.confirmedTakeUps {
+	case e.confirmedContinuations != nil:
+		for _, t := range e.confirmedContinuations {
 			h.continueConfirmed(t)
 		}
 	case e.originResult != nil:
--- a/controller/internal/gateway/origins.go
+++ b/controller/internal/gateway/origins.go
@@ -20,16 +20,16 @@
 	err    error
 }
 
-// takeUp is a gateway's request that continues a stream which is not recorded.
-type takeUp struct {
+// continuation is a gateway's request that continues a stream which is not recorded.
+type continuation struct {
 	conn    *conn
 	request dispatch.Request
 }
 
-// replica returns this controller's replica, or nil.
+// replica returns this controller's replica, or nil. Hubs of tests may have no replicas.
 func (h *Hub) replica() *replica.Replica {
 	if h.replicas == nil {
-		return nil // in tests
+		return nil
 	}
 	return h.replicas.Replica()
 }
@@ -98,7 +98,7 @@
 		return
 	}
 	select {
-	case h.takeUps <- takeUp{
+	case h.unconfirmed <- continuation{
 		conn:    c,
 		request: r,
 	}:
@@ -116,7 +116,7 @@
 }
 
 // continueConfirmed decides on a request after the read.
-func (h *Hub) continueConfirmed(t takeUp) {
+func (h *Hub) continueConfirmed(t continuation) {
 	if h.origins == nil || h.conns[t.conn.name] != t.conn {
 		return
 	}
@@ -147,7 +147,7 @@
 func (h *Hub) place(c *conn, r dispatch.Request) {
 	now := time.Now()
 	if r.Continues {
-		r.Resumed = h.continuations.Take(now, r.Stream)
+		r.Resumed = h.allowance.Take(now, r.Stream)
 	}
 	c.traffic.add(r.Weight())
 	d := h.scheduler.Place(now, c.name, r)
@@ -155,26 +155,26 @@
 	h.replies[c] = append(h.replies[c], d)
 }
 
-// confirmTakeUps has the waiting requests decided after a linearizable read, one for all that
+// confirmContinuations has the waiting requests decided after a linearizable read, one for all that
 // are queued.
-func (h *Hub) confirmTakeUps(ctx context.Context) {
+func (h *Hub) confirmContinuations(ctx context.Context) {
 	for {
-		var waiting []takeUp
+		var waiting []continuation
 		select {
 		case <-ctx.Done():
 			return
-		case t := <-h.takeUps:
+		case t := <-h.unconfirmed:
 			waiting = append(waiting, t)
 		}
-		for len(h.takeUps) > 0 {
-			waiting = append(waiting, <-h.takeUps)
+		for len(h.unconfirmed) > 0 {
+			waiting = append(waiting, <-h.unconfirmed)
 		}
 		r := h.replica()
 		if r == nil || r.Barrier(ctx) != nil {
 			continue // the gateways refuse the requests for now
 		}
 		h.post(ctx, event{
-			confirmedTakeUps: waiting,
+			confirmedContinuations: waiting,
 		})
 	}
 }
--- a/controller/internal/gateway/origins_test.go
+++ b/controller/internal/gateway/origins_test.go
@@ -169,7 +169,7 @@
 	}))
 	r, stop := startReplica(t, folder)
 	h := newOriginHub(t, r)
-	go h.confirmTakeUps(h.ctx)
+	go h.confirmContinuations(h.ctx)
 	c := &conn{
 		name: "a",
 	}
@@ -200,7 +200,7 @@
 	stop() // with one version no stream is recorded
 	r, stop = startReplica(t, folder)
 	h = newOriginHub(t, r)
-	go h.confirmTakeUps(h.ctx)
+	go h.confirmContinuations(h.ctx)
 	h.list("v1", "v1")
 	is.Equal(len(h.upstreams), 2)
 	d := h.takeUp(c, 1, true)
@@ -233,7 +233,7 @@
 	h.list("v2")
 	is.Equal(h.takeUp(c, 2, false).Reason, dispatch.VersionUnavailable)
 	for range origin.MaxContinuations - 1 { // one was placed above
-		is.True(h.continuations.Take(time.Now(), 4))
+		is.True(h.allowance.Take(time.Now(), 4))
 	}
-	is.True(!h.continuations.Take(time.Now(), 4))
+	is.True(!h.allowance.Take(time.Now(), 4))
 }
--- a/gateway/internal/controller/link.go
+++ b/gateway/internal/controller/link.go
@@ -101,8 +101,8 @@
 	waitingOrder []uint64 // keys of waiting, by deadline; some are no longer waiting
 	// originOrder is the same for requests with originTimeout.
 	originOrder []uint64
-	// continuations are the local placements of requests that continue streams.
-	continuations origin.Allowance
+	// allowance counts the local placements of requests that continue streams.
+	allowance origin.Allowance
 	// begun are the origins of the streams that this gateway has forwarded.
 	begun     *origin.Register
 	outgoing  wire.Serve             // the next frame, not sent yet
--- a/gateway/internal/controller/place.go
+++ b/gateway/internal/controller/place.go
@@ -78,7 +78,7 @@
 		l.scheduler.DecideAlone(now)
 	}
 	if r.Continues {
-		r.Resumed = l.continuations.Take(now, r.Stream)
+		r.Resumed = l.allowance.Take(now, r.Stream)
 	}
 	d := l.scheduler.Place(now, l.settings.Name, r)
 	d.Version = r.Version
