--- a/fleet/origin/keeper.go
+++ b/fleet/origin/keeper.go
@@ -139,8 +139,8 @@
 	Unknown Answer = iota
 	// Found: the origin is known.
 	Found
-	// Unconfirmed: the stream is not recorded. Its service has one version unless a later
-	// leader has added another one; History.Single tells after a linearizable read.
+	// Unconfirmed: the stream is not recorded, and its service has one version unless a later
+	// leader has added another one. After a linearizable read History.Single returns it.
 	Unconfirmed
 )
 
@@ -210,7 +210,7 @@
 	}
 	k.nextRemoval = now.Add(removalInterval)
 	c := Change{
-		// What older leaders published without a record is gone as well.
+		// Versions that older leaders published without a record have left the list, too.
 		Complete: !k.complete,
 	}
 	for service, names := range k.versions {
--- a/gateway/internal/controller/link.go
+++ b/gateway/internal/controller/link.go
@@ -173,47 +173,6 @@
 	}
 }
 
-// ReportStarted reports that the answer to a placed request has started.
-func (l *Link) ReportStarted(id uint64) {
-	l.events <- event{
-		started: id,
-	}
-}
-
-// ReportBegun reports what began a stream whose first event is being forwarded.
-func (l *Link) ReportBegun(s origin.Stream, o origin.Origin) {
-	l.events <- event{
-		begun: &begunStream{
-			stream: s,
-			origin: o,
-		},
-	}
-}
-
-// ReportOutcome reports how a request ended at its upstream.
-func (l *Link) ReportOutcome(id uint64, outcome dispatch.Outcome) {
-	ended := wire.NewEnded(id, outcome)
-	l.events <- event{
-		ended: &ended,
-	}
-}
-
-// ReportNotice reports an upstream's notice that it shuts down or wants no requests for a
-// while.
-func (l *Link) ReportNotice(n dispatch.Notice) {
-	l.events <- event{
-		notice: &n,
-	}
-}
-
-// ReportRateLimit reports what the answer to a request states about its upstream's rate
-// limit. An answer without one need only be reported for upstreams in View.RateLimits.
-func (l *Link) ReportRateLimit(r dispatch.RateLimitReport) {
-	l.events <- event{
-		limit: &r,
-	}
-}
-
 // Run connects to the leader and handles events until the context ends. The goroutine that
 // calls it is the control goroutine.
 func (l *Link) Run(ctx context.Context) {
--- a/gateway/internal/controller/place.go
+++ b/gateway/internal/controller/place.go
@@ -36,8 +36,8 @@
 	l.outgoing.PlacementRequests = append(l.outgoing.PlacementRequests, r)
 }
 
-// refuseUnknownVersion returns the decision on a request that continues a stream whose version
-// nobody knows for certain. The caller has to begin anew.
+// refuseUnknownVersion returns the decision on a request that continues a stream which did not
+// begin at one known version of the service.
 func refuseUnknownVersion(r dispatch.Request) dispatch.Decision {
 	return dispatch.Decision{
 		ID:     r.ID,
--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -168,31 +168,6 @@
 // InFlight returns the number of requests being handled.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
-// Drain starts draining: from now on connections are closed after the next answer, and
-// requests that may not be finished by end are refused. It does not wait.
-func (h *Handler) Drain(end time.Time) {
-	h.drainStart.Store(time.Now().UnixNano())
-	h.drainEnd.Store(end.UnixNano())
-}
-
-// outlastsDrain reports whether the request may run beyond the end of the drain. The longest
-// run assumed is the time to the deadline. For a stream that its caller can resume elsewhere,
-// and that arrives before the load balancer has noticed the drain, it is the estimated time of
-// the stream if that is shorter.
-func (x *exchange) outlastsDrain() bool {
-	end := x.handler.drainEnd.Load()
-	if end == 0 {
-		return false
-	}
-	left := time.Until(time.Unix(0, end)) - drainMargin
-	longest := time.Until(x.deadline)
-	early := time.Since(time.Unix(0, x.handler.drainStart.Load())) < x.handler.unreadyDelay
-	if early && x.route.Kind == configuration.Stream && x.route.Resumable && x.call.Prompt.MaxOutput > 0 {
-		longest = min(longest, x.route.Objective()+x.handler.pace.estimate(likelyMaxTokens(x.call.Prompt)))
-	}
-	return longest > left
-}
-
 // refuse answers with a problem that guarantees that the request was not run. A retry of
 // zero sends no Retry-After header.
 func (x *exchange) refuse(status int, code problem.Code, detail string, retry time.Duration) {
