--- a/controller/internal/platform/platform.go
+++ b/controller/internal/platform/platform.go
@@ -3,6 +3,7 @@
 package platform
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -71,6 +72,9 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "read the list of hosts")
 	}
+	if string(bytes.TrimSpace(data)) == "null" {
+		return nil, nil // an empty list, as some encoders write it
+	}
 	entries, _, err := jsonlist.Split(data, "")
 	if err != nil {
 		return nil, merry.Prepend(err, "decode the list of hosts")
