dispatch: a stream's continuation is refused while engines are busy

Callers whose streams stall leave and continue them; a continuation was admitted whatever the queue, so floods on slow engines made these slower.

Failed before: TestContinuationsDoNotOverloadSlowEngines.

--- a/fleet/dispatch/request.go
+++ b/fleet/dispatch/request.go
@@ -77,8 +77,8 @@
 	// before, and those that want no requests from its gateway.
 	Excluded []string `cbor:"8,keyasint,omitempty"`
 	// Resumed reports whether the request continues an interrupted stream. Such a request
-	// was admitted before, so it is not refused for its team's share or because engines
-	// are busy, unless it can't be served before its deadline.
+	// was admitted before, so it is not refused for its team's share. One that is resumed
+	// within its answer is not refused because engines are busy either.
 	Resumed bool `cbor:"9,keyasint,omitempty"`
 	// Digest identifies requests with the same target, team and body, at any gateway. It is
 	// zero if the gateway sends none.
--- a/fleet/dispatch/scheduler.go
+++ b/fleet/dispatch/scheduler.go
@@ -221,7 +221,7 @@
 	in.QueueDelay, in.PrefillTime = delay, prefillTime(best.uncached, best.speed)
 	class := s.class(r.Class)
 	size := prefillTime(class.observe(now, float64(r.Prompt.Tokens), best.uncached), best.speed)
-	if r.Resumed && delay > r.Remaining && r.Remaining > 0 {
+	if r.Resumed && r.Continues && delay > busyBound(r, size) {
 		return s.refuse(now, r, Busy, in)
 	}
 	if !r.Resumed {
@@ -285,12 +285,19 @@
 		return OverShare
 	case allowed < 1 && delay > time.Duration(allowed*objectiveFraction*objective):
 		return AheadOfOthers
-	case delay > max(time.Duration(objectiveFraction*objective)-size, time.Duration(longPromptFraction*objective)):
+	case delay > busyBound(r, size):
 		return Busy
 	}
 	return ""
 }
 
+// busyBound returns the longest queueing delay at which a request is placed. Size is the time
+// that counts for the prefill of its own prompt.
+func busyBound(r Request, size time.Duration) time.Duration {
+	objective := float64(r.Objective)
+	return max(time.Duration(objectiveFraction*objective)-size, time.Duration(longPromptFraction*objective))
+}
+
 // idleBound returns the prefill time up to which an engine counts as idle and so takes
 // the request of a team that is over its share.
 func (s *Scheduler) idleBound(r Request, e *engine) time.Duration {
