serve: a continuation after the last event is answered

A caller had all 50 events of a stream and not its end, since its gateway was stopped, and continued it. No event was left, so the upstream's answer, complete by its framing, was taken for one that had broken off, and the caller got 502. Within one answer such an end was accepted before; a caller's continuation is now treated alike. Failed before: TestContinuationAfterTheLastEvent, which also checks that a new stream without events still fails.

--- a/gateway/internal/serve/forward.go
+++ b/gateway/internal/serve/forward.go
@@ -264,7 +264,7 @@
 // none, unless it resumed another and its framing shows that nothing was left.
 func (x *exchange) finishStream(answer *upstream.Answer, hadEvents bool) outcome {
 	bodyDue := x.r.Method != http.MethodHead && answer.Status != http.StatusNoContent
-	resumedToEnd := x.headSent && answer.Framed()
+	resumedToEnd := (x.headSent || x.continues) && answer.Framed()
 	if x.events.incomplete() || !hadEvents && bodyDue && !resumedToEnd {
 		return x.breakStream(io.ErrUnexpectedEOF)
 	}
--- a/gateway/internal/serve/versions_test.go
+++ b/gateway/internal/serve/versions_test.go
@@ -102,6 +102,22 @@
 	}
 }
 
+// TestContinuationAfterTheLastEvent guards against a caller who has all events of a stream and
+// not its end, and whose continuation fails since no event is left.
+func TestContinuationAfterTheLastEvent(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(t, eventStream("", true))
+	g.scheduler.version = "v1"
+	response, body, err := g.send("/chat/", "X-Api-Key", "key-1", "Resumes", "9c41", "Last-Event-Id", "2")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(body, "")
+	g = newTestGateway(t, eventStream("", true), eventStream("", true))
+	response, _, err = g.send("/chat/", "X-Api-Key", "key-1") // a new stream without an event failed
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusBadGateway)
+}
+
 // TestContinuationStaysAdmitted guards against a caller's stream that is refused for its team's
 // share, like new work, because the first upstream of its version was not reached.
 func TestContinuationStaysAdmitted(t *testing.T) {
