--- a/bench/e2e/soak_test.go
+++ b/bench/e2e/soak_test.go
@@ -17,6 +17,7 @@
 	"a hangup signal while settings are read ended a controller": 104,
 	"a hangup signal before the first instruction":               109,
 	"a silent stream outlives the grace period":                  108,
+	"a stream continued after its last event fails":              2026120636,
 	"no known fault": 1,
 }
 
