telemetry, trace: what decides comes first in a log line

The users' record keeps 200 characters of a line. Process name (45 characters) and request identifier stood before status, reason and cause, so that "the configuration may be old" ended at "the config" and looked like "no configuration yet" without its version.

The logger encodes the process once and ends each line with it. Lines about requests have status, reason, cause, configuration and proof_left_ms before the identifier; all other warnings have their cause before identifiers.

--- a/controller/internal/gateway/origins.go
+++ b/controller/internal/gateway/origins.go
@@ -244,7 +244,7 @@
 	change := result.change
 	if result.err != nil {
 		h.origins.Done(change, nil)
-		h.log.Warn("software versions of streams not recorded, retried later", "versions", len(change.Add), "cause", result.err)
+		h.log.Warn("software versions of streams not recorded, retried later", "cause", result.err, "versions", len(change.Add))
 		return
 	}
 	h.viewHistory(func(history *origin.History) { h.origins.Done(change, history) })
--- a/controller/internal/gateway/quarantine.go
+++ b/controller/internal/gateway/quarantine.go
@@ -160,7 +160,7 @@
 		Quarantine: &change,
 	})
 	if err != nil {
-		h.log.Warn("quarantined segments not recorded, retried later", "segments", len(change.Put), "cause", err)
+		h.log.Warn("quarantined segments not recorded, retried later", "cause", err, "segments", len(change.Put))
 	}
 	recorded := readQuarantine(r)
 	recorded.proposed = true
--- a/controller/internal/order/order.go
+++ b/controller/internal/order/order.go
@@ -163,7 +163,7 @@
 		Want:         due.Placement,
 	})
 	if err != nil {
-		r.log.Warn("order not carried out, retried after a backoff", "upstream", due.Placement.Upstream, "cause", err)
+		r.log.Warn("order not carried out, retried after a backoff", "cause", err, "upstream", due.Placement.Upstream)
 		return
 	}
 	outcome.OK = true
--- a/controller/internal/peer/gossip.go
+++ b/controller/internal/peer/gossip.go
@@ -77,7 +77,7 @@
 	}
 	gossip, err := decodeGossip(reply)
 	if err != nil {
-		p.log.Warn("gossip of a controller can't be decoded, ignored", "peer", address, "cause", err)
+		p.log.Warn("gossip of a controller can't be decoded, ignored", "cause", err, "peer", address)
 		return
 	}
 	before := p.core.Group()
--- a/controller/internal/peer/unary.go
+++ b/controller/internal/peer/unary.go
@@ -103,7 +103,7 @@
 	change := func(m raft.Members) (raft.Members, error) { return m.Admit(id, address) }
 	if err := r.ChangeMembers(ctx, change); err != nil {
 		// Another change is under way, or leadership was lost.
-		u.member.log.Info("replica not added to the group yet, it asks again", "replica", id, "address", address, "cause", err)
+		u.member.log.Info("replica not added to the group yet, it asks again", "cause", err, "address", address, "replica", id)
 	}
 	return reply, nil
 }
--- a/controller/internal/replica/disk.go
+++ b/controller/internal/replica/disk.go
@@ -49,6 +49,6 @@
 		},
 	})
 	if err != nil && !errors.Is(err, ErrNotLeader) {
-		r.log.Warn("disk of a peer not recorded, retried at the next check", "replica", id, "cause", err)
+		r.log.Warn("disk of a peer not recorded, retried at the next check", "cause", err, "replica", id)
 	}
 }
--- a/controller/internal/replica/network.go
+++ b/controller/internal/replica/network.go
@@ -124,13 +124,13 @@
 			return
 		}
 		if err != nil || peer.id != m.ID {
-			n.replica.log.Warn("replica at a member's address is not that member, link closed", "replica", m.ID, "cause", err)
+			n.replica.log.Warn("replica at a member's address is not that member, link closed", "cause", err, "replica", m.ID)
 			return
 		}
 		n.registerLink(n.outbound, m.ID, c)
 		defer n.unregisterLink(n.outbound, m.ID, c)
 		if err := n.replica.receive(ctx, peer, c); err != nil && ctx.Err() == nil {
-			n.replica.log.Info("link to a replica lost, dialed again", "replica", m.ID, "cause", err)
+			n.replica.log.Info("link to a replica lost, dialed again", "cause", err, "replica", m.ID)
 		}
 	})
 }
@@ -237,7 +237,7 @@
 	})
 	// After other errors the link is closed, and the replica that opened it dials again.
 	if errors.Is(err, link.ErrFrameTooLarge) {
-		n.replica.log.Error("message to a replica is too large for a link, not sent", "replica", m.To, "type", m.Type, "cause", err)
+		n.replica.log.Error("message to a replica is too large for a link, not sent", "type", m.Type, "cause", err, "replica", m.To)
 	}
 }
 
--- a/fleet/telemetry/handler.go
+++ b/fleet/telemetry/handler.go
@@ -18,6 +18,7 @@
 	out    io.Writer
 	prefix string // prefix of keys: the open groups, each followed by a dot
 	preset []byte // encoded fields of WithAttrs
+	suffix []byte // encoded fields that end each line
 }
 
 // linePool holds buffers for encoding lines.
@@ -48,6 +49,7 @@
 		b = appendAttr(b, h.prefix, a)
 		return true
 	})
+	b = append(b, h.suffix...)
 	b = append(b, "}\n"...)
 	*buffer = b
 	_, err := h.out.Write(b)
--- a/fleet/telemetry/handler_test.go
+++ b/fleet/telemetry/handler_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -60,6 +61,16 @@
 	is.True(!bytes.Contains(out.Bytes(), []byte(`"a":`)))
 }
 
+// TestProcessEndsLine guards against a process name that takes the place of what decides in
+// a line that is cut off.
+func TestProcessEndsLine(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log := NewLogger(&out, "gateway a")
+	log.With("a", 1).WithGroup("g").Warn("m", "c", 3)
+	is.True(strings.HasSuffix(out.String(), `"msg":"m","a":1,"g.c":3,"process":"gateway a"}`+"\n"))
+}
+
 // BenchmarkLine measures logging a line with five fields.
 func BenchmarkLine(b *testing.B) {
 	log := NewLogger(io.Discard, "gateway a")
--- a/fleet/telemetry/telemetry.go
+++ b/fleet/telemetry/telemetry.go
@@ -14,11 +14,13 @@
 )
 
 // NewLogger returns a logger that writes each record to w as a JSON object on one line,
-// with the process's name in the field process. Records below level info are dropped.
+// with the process's name in the last field, process: collectors cut off long lines, and
+// what decides comes first. Records below level info are dropped.
 func NewLogger(w io.Writer, process string) *slog.Logger {
 	return slog.New(&lineHandler{
-		out: w,
-	}).With("process", process)
+		out:    w,
+		suffix: appendAttr(nil, "", slog.String("process", process)),
+	})
 }
 
 // Metrics is the registry of a program's metrics.
--- a/fleet/trace/log.go
+++ b/fleet/trace/log.go
@@ -129,7 +129,7 @@
 func (r *Request) write(at time.Time, level slog.Level, s Step) {
 	record := slog.NewRecord(at, level, s.message(), 0)
 	var buffer [attrsCapacity]slog.Attr
-	record.AddAttrs(s.attrs(append(buffer[:0], slog.String(KeyRequest, r.id)))...)
+	record.AddAttrs(s.attrs(buffer[:0], r.id)...)
 	// Errors are ignored: the handler writes to a telemetry.Writer, which never fails.
 	_ = r.log.handler.Handle(context.Background(), record)
 }
--- a/fleet/trace/quarantine.go
+++ b/fleet/trace/quarantine.go
@@ -44,8 +44,8 @@
 			log.Info(released, subjectKey(c.Subject), SubjectID(c.ID), KeyCause, string(c.Cause))
 			continue
 		}
-		log.Warn(quarantined, subjectKey(c.Subject), SubjectID(c.ID), KeyCause, string(c.Cause),
-			KeyRounds, c.Rounds, KeyCrashes, c.Crashes, KeyTrialIn, c.TrialIn.Milliseconds())
+		log.Warn(quarantined, KeyCause, string(c.Cause), KeyCrashes, c.Crashes, KeyRounds, c.Rounds,
+			KeyTrialIn, c.TrialIn.Milliseconds(), subjectKey(c.Subject), SubjectID(c.ID))
 	}
 }
 
--- a/fleet/trace/step.go
+++ b/fleet/trace/step.go
@@ -63,7 +63,9 @@
 // Step is a decision about a request or its result, which is written as one line.
 type Step interface {
 	message() string
-	attrs(dst []slog.Attr) []slog.Attr
+	// attrs appends the fields of the line: what decides, the request's identifier and the
+	// rest, since collectors cut off long lines.
+	attrs(dst []slog.Attr, request string) []slog.Attr
 }
 
 // RequestInfo describes a request and the state of its gateway on arrival. Fields that
@@ -86,11 +88,13 @@
 	ResumesAfter string
 }
 
-func (info RequestInfo) attrs(dst []slog.Attr) []slog.Attr {
+// attrs appends the configuration in force, the request's identifier and the other fields.
+func (info RequestInfo) attrs(dst []slog.Attr, request string) []slog.Attr {
+	dst = append(dst, slog.Uint64(KeyConfiguration, info.Version), millis(KeyProofLeft, info.ProofLeft),
+		slog.String(KeyRequest, request))
 	dst = appendText(dst, KeyRoute, info.Route)
 	dst = appendText(dst, KeyService, info.Service)
 	dst = appendText(dst, KeyTeam, info.Team)
-	dst = append(dst, slog.Uint64(KeyConfiguration, info.Version), millis(KeyProofLeft, info.ProofLeft))
 	if info.CallerWait > 0 {
 		dst = append(dst, millis(KeyCallerWait, info.CallerWait))
 	}
@@ -137,13 +141,13 @@
 
 func (s Refused) message() string { return MsgRefused }
 
-func (s Refused) attrs(dst []slog.Attr) []slog.Attr {
+func (s Refused) attrs(dst []slog.Attr, request string) []slog.Attr {
 	dst = append(dst, slog.Int(KeyStatus, s.Status), slog.String(KeyReason, s.Reason))
-	dst = appendText(dst, KeyCause, s.Cause)
+	dst = s.RequestInfo.attrs(appendText(dst, KeyCause, s.Cause), request)
 	if s.RetryAfter > 0 {
 		dst = append(dst, millis(KeyRetryAfter, s.RetryAfter))
 	}
-	dst = appendInputs(s.RequestInfo.attrs(dst), s.Inputs)
+	dst = appendInputs(dst, s.Inputs)
 	if s.Inputs.Quarantine == nil {
 		return dst
 	}
@@ -159,8 +163,8 @@
 
 func (s Placed) message() string { return MsgPlaced }
 
-func (s Placed) attrs(dst []slog.Attr) []slog.Attr {
-	return appendInputs(s.RequestInfo.attrs(append(dst, slog.String(KeyUpstream, s.Upstream))), s.Inputs)
+func (s Placed) attrs(dst []slog.Attr, request string) []slog.Attr {
+	return appendInputs(s.RequestInfo.attrs(append(dst, slog.String(KeyUpstream, s.Upstream)), request), s.Inputs)
 }
 
 // Tried records the result of sending a request to an upstream.
@@ -188,13 +192,14 @@
 
 func (s Tried) message() string { return MsgTried }
 
-func (s Tried) attrs(dst []slog.Attr) []slog.Attr {
-	dst = append(dst, slog.String(KeyUpstream, s.Upstream), slog.String(KeyOutcome, s.Outcome), millis(KeyTook, s.Took))
-	dst = appendText(dst, KeyUpstreamVersion, s.Version)
+func (s Tried) attrs(dst []slog.Attr, request string) []slog.Attr {
+	dst = append(dst, slog.String(KeyOutcome, s.Outcome))
 	if s.Status > 0 {
 		dst = append(dst, slog.Int(KeyStatus, s.Status))
 	}
-	dst = appendText(dst, KeyCause, s.Cause)
+	dst = append(appendText(dst, KeyCause, s.Cause), millis(KeyTook, s.Took), slog.String(KeyUpstream, s.Upstream),
+		slog.String(KeyRequest, request))
+	dst = appendText(dst, KeyUpstreamVersion, s.Version)
 	dst = appendText(dst, KeyLastEvent, s.LastEvent)
 	switch {
 	case s.RateLimit.Stated:
@@ -232,8 +237,9 @@
 
 func (s UpstreamNotice) message() string { return MsgUpstreamNotice }
 
-func (s UpstreamNotice) attrs(dst []slog.Attr) []slog.Attr {
-	return append(dst, slog.String(KeyUpstream, s.Upstream), slog.Bool(KeyLeaving, s.Leaving), millis(KeyBackoff, s.Backoff))
+func (s UpstreamNotice) attrs(dst []slog.Attr, request string) []slog.Attr {
+	return append(dst, slog.Bool(KeyLeaving, s.Leaving), millis(KeyBackoff, s.Backoff), slog.String(KeyUpstream, s.Upstream),
+		slog.String(KeyRequest, request))
 }
 
 // NotRetried records why a request that failed at an upstream is not sent to another.
@@ -243,8 +249,8 @@
 
 func (s NotRetried) message() string { return MsgNotRetried }
 
-func (s NotRetried) attrs(dst []slog.Attr) []slog.Attr {
-	return append(dst, slog.String(KeyReason, s.Reason))
+func (s NotRetried) attrs(dst []slog.Attr, request string) []slog.Attr {
+	return append(dst, slog.String(KeyReason, s.Reason), slog.String(KeyRequest, request))
 }
 
 // Ended records how a request that was sent to upstreams ended for its caller.
@@ -262,15 +268,16 @@
 
 func (s Ended) message() string { return MsgEnded }
 
-func (s Ended) attrs(dst []slog.Attr) []slog.Attr {
-	dst = append(dst, slog.String(KeyOutcome, s.Outcome), slog.Int(KeyTries, s.Tries), millis(KeyTook, s.Took))
-	if s.FirstByte > 0 {
-		dst = append(dst, millis(KeyFirstByte, s.FirstByte))
-	}
+func (s Ended) attrs(dst []slog.Attr, request string) []slog.Attr {
+	dst = append(dst, slog.String(KeyOutcome, s.Outcome))
 	if s.Status > 0 {
 		dst = append(dst, slog.Int(KeyStatus, s.Status))
 	}
-	return dst
+	dst = append(dst, slog.Int(KeyTries, s.Tries), millis(KeyTook, s.Took))
+	if s.FirstByte > 0 {
+		dst = append(dst, millis(KeyFirstByte, s.FirstByte))
+	}
+	return append(dst, slog.String(KeyRequest, request))
 }
 
 // appendText appends a field unless its value is empty.
--- a/fleet/trace/team.go
+++ b/fleet/trace/team.go
@@ -20,10 +20,9 @@
 // controller has counted tokens.
 func LogShortfalls(log *slog.Logger, leading time.Duration, short []dispatch.Shortfall) {
 	for _, s := range short[:min(len(short), maxLoggedTeams)] {
-		log.Warn(MsgTeamShort, KeyTeam, s.Team, "teams_short", len(short),
-			"asked", int64(s.Demand), "due", int64(s.Due), "received", int64(s.Received),
-			"refused_over_share", s.Refused.OverShare, "refused_busy", s.Refused.Busy,
+		log.Warn(MsgTeamShort, KeyTeam, s.Team, "due", int64(s.Due), "received", int64(s.Received),
+			"asked", int64(s.Demand), "refused_over_share", s.Refused.OverShare, "refused_busy", s.Refused.Busy,
 			"refused_no_upstream", s.Refused.NoUpstream, "refused_by_gateways", s.Refused.ByGateway,
-			"leading_ms", leading.Milliseconds())
+			"teams_short", len(short), "leading_ms", leading.Milliseconds())
 	}
 }
--- a/gateway/internal/controller/link.go
+++ b/gateway/internal/controller/link.go
@@ -345,8 +345,8 @@
 		}
 	}
 	l.waitingOrder, l.originOrder = nil, nil
-	l.log.Warn("link to the leader lost", "leader", l.view.Load().Leader, "cause", cause,
-		"proof_left_ms", l.view.Load().ProvenUntil.Sub(steady.Now()).Milliseconds())
+	l.log.Warn("link to the leader lost", "cause", cause, "configuration", l.version,
+		"proof_left_ms", l.view.Load().ProvenUntil.Sub(steady.Now()).Milliseconds(), "leader", l.view.Load().Leader)
 	l.setLeader("")
 }
 
--- a/gateway/internal/controller/receive.go
+++ b/gateway/internal/controller/receive.go
@@ -91,12 +91,12 @@
 	case f.Configuration != nil && f.Configuration.Version > l.version:
 		parsed, err := configuration.Parse(f.Configuration.Document)
 		if err != nil {
-			l.log.Error("received configuration is invalid, keeping the previous one", "version", f.Configuration.Version, "cause", err)
+			l.log.Error("received configuration is invalid, keeping the previous one", "cause", err, "version", f.Configuration.Version)
 			return nil
 		}
 		snapshot, err := configuration.NewSnapshot(parsed)
 		if err != nil {
-			l.log.Error("received configuration is invalid, keeping the previous one", "version", f.Configuration.Version, "cause", err)
+			l.log.Error("received configuration is invalid, keeping the previous one", "cause", err, "version", f.Configuration.Version)
 			return nil
 		}
 		l.needsFull.Store(false)
@@ -118,7 +118,7 @@
 			return next
 		}
 	}
-	l.log.Warn("configuration change has another base, linking again for the whole configuration", "version", l.version, "cause", err)
+	l.log.Warn("configuration change has another base, linking again for the whole configuration", "cause", err, "version", l.version)
 	l.needsFull.Store(true)
 	l.conn.Close()
 	return nil
--- a/sidecar/internal/engine/engine.go
+++ b/sidecar/internal/engine/engine.go
@@ -102,7 +102,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), order.Deadline)
 	defer cancel()
 	if err := e.http.Order(ctx, u.URL, order); err != nil {
-		e.log.Warn("order to the engine failed; reported to the controller", "upstream", order.Upstream, "number", order.FencingToken, "cause", err)
+		e.log.Warn("order to the engine failed; reported to the controller", "cause", err, "number", order.FencingToken, "upstream", order.Upstream)
 		problem.New(http.StatusBadGateway, problem.UpstreamFailed, err.Error()).Write(w)
 		return
 	}
