operator: answered lines begin with status, code and detail

The problem of a failed read or change of the configuration stood at the end of its line, as an escaped JSON document of up to 400 bytes, and was cut off in the users' record. Now status, code and detail come first, then version, time and address.

--- a/controller/internal/operator/configuration.go
+++ b/controller/internal/operator/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"log/slog"
@@ -212,8 +213,13 @@
 	body    []byte // the first maxErrorBytes of an error's body
 }
 
-// maxErrorBytes bounds how much of an error's body is logged.
-const maxErrorBytes = 400
+// Limits of what is logged of an answer.
+const (
+	// maxErrorBytes bounds how much of an error's body is kept.
+	maxErrorBytes = 4 << 10
+	// maxDetailBytes bounds the logged detail of an error.
+	maxDetailBytes = 400
+)
 
 // WriteHeader implements http.ResponseWriter. It records the status.
 func (l *loggedResponse) WriteHeader(status int) {
@@ -243,7 +249,24 @@
 		if response.status >= http.StatusBadRequest {
 			level = slog.LevelWarn
 		}
-		c.log.Log(r.Context(), level, message, "version", response.version, "status", response.status,
-			"took_ms", time.Since(started).Milliseconds(), "from", r.RemoteAddr, "problem", string(response.body))
+		fields := append([]any{"status", response.status}, response.problemFields()...)
+		c.log.Log(r.Context(), level, message, append(fields, "version", response.version,
+			"took_ms", time.Since(started).Milliseconds(), "from", r.RemoteAddr)...)
+	}
+}
+
+// problemFields returns the code and the detail of an error for the log, or the beginning of its
+// body if that holds no problem.
+func (l *loggedResponse) problemFields() []any {
+	if len(l.body) == 0 {
+		return nil
 	}
+	var p problem.Problem
+	if err := json.Unmarshal(l.body, &p); err != nil || p.Code == "" {
+		return []any{"detail", bounded(string(l.body))}
+	}
+	return []any{"code", string(p.Code), "detail", bounded(p.Detail)}
 }
+
+// bounded returns the beginning of a text.
+func bounded(text string) string { return text[:min(len(text), maxDetailBytes)] }
