replica: the data folder is written through an interface

A replica writes through the interface Store, and peer.Member opens the folder through a function, so that tests can make writes fail, take long or stall while the process lives on. No logic has changed.

--- a/bench/internal/soak/lostdisk.go
+++ b/bench/internal/soak/lostdisk.go
@@ -27,7 +27,7 @@
 	}
 	defer store.Close()
 	r := replicaOnDisk{
-		id:       store.Identity.ReplicaID,
+		id:       store.Identity().ReplicaID,
 		term:     restored.HardState.Term,
 		vote:     restored.HardState.Vote,
 		lastTerm: restored.Snapshot.Term,
--- a/controller/internal/peer/member.go
+++ b/controller/internal/peer/member.go
@@ -39,6 +39,15 @@
 // ErrNoReplica reports that this controller runs no replica at present.
 var ErrNoReplica = merry.Sentinel("this controller holds no replica")
 
+// Store is the open data folder of a replica.
+type Store interface {
+	replica.Store
+	Close()
+}
+
+// openFolder opens the data folder of a host's disk.
+func openFolder(folder string) (Store, raft.Restored, error) { return disk.Open(folder) }
+
 // Member runs this controller's replica for as long as its disk works. On a
 // controller without a disk it runs none.
 type Member struct {
@@ -47,6 +56,8 @@
 	peers    *Peers
 	dialer   link.Dialer
 	log      *slog.Logger
+	// open opens the data folder. Tests replace it to make writes fail.
+	open func(folder string) (Store, raft.Restored, error)
 
 	current atomic.Pointer[replica.Replica] // nil while none runs
 	// waitLogAt is when an empty data folder that waits for a group is logged next. Only
@@ -63,6 +74,7 @@
 		peers:    peers,
 		dialer:   dialer,
 		log:      log,
+		open:     openFolder,
 	}
 }
 
@@ -88,7 +100,7 @@
 // folder instead if that is empty, and erases it if the replica was removed from the
 // group.
 func (m *Member) runReplica(ctx context.Context) error {
-	store, restored, err := disk.Open(m.folder)
+	store, restored, err := m.open(m.folder)
 	if errors.Is(err, disk.ErrNoIdentity) {
 		return m.prepareFolder()
 	}
@@ -96,7 +108,7 @@
 		return err
 	}
 	defer store.Close()
-	id := store.Identity.ReplicaID
+	id := store.Identity().ReplicaID
 	r, err := replica.New(m.settings, store, restored, m.dialer, m.peers, m.log)
 	if err != nil {
 		return err
--- a/controller/internal/replica/apply.go
+++ b/controller/internal/replica/apply.go
@@ -156,7 +156,7 @@
 	if r.state.Revision != revision || r.state.Configuration.Version != version || r.state.QuarantineRevision != quarantineRevision {
 		r.notifyChanged()
 	}
-	id := r.store.Identity
+	id := r.store.Identity()
 	mismatch := r.state.Disks[id.ReplicaID] != "" && r.state.Disks[id.ReplicaID] != id.DiskID
 	r.mu.Unlock()
 	if mismatch {
--- a/controller/internal/replica/disk.go
+++ b/controller/internal/replica/disk.go
@@ -11,7 +11,7 @@
 // result isn't awaited, since apply checks each binding.
 func (r *Replica) proposeOwnDisk() {
 	r.diskBindingProposed = true
-	id := r.store.Identity
+	id := r.store.Identity()
 	r.propose(&proposal{
 		command: state.Command{
 			Disk: &state.DiskBinding{
--- a/controller/internal/replica/leaderless.go
+++ b/controller/internal/replica/leaderless.go
@@ -94,7 +94,7 @@
 		return
 	}
 	linked := n.linked()
-	n.replica.log.Warn("no leader is known", "replica", s.ReplicaID, "disk", n.replica.store.Identity.DiskID,
+	n.replica.log.Warn("no leader is known", "replica", s.ReplicaID, "disk", n.replica.store.Identity().DiskID,
 		"leaderless_ms", now.Sub(n.leaderlessSince).Milliseconds(), "reason", leaderlessReason(s, linked),
 		"role", s.Role, "term", s.Term, "vote", s.Vote, "votes", s.Votes, "quorum", s.Members.Quorum(),
 		"linked", linked, "members", describeMembers(s.Members), "committed_members_index", s.CommittedMembersIndex,
--- a/controller/internal/replica/network.go
+++ b/controller/internal/replica/network.go
@@ -138,7 +138,7 @@
 // sendHello sends this replica's identifiers, as each end of a link does first. expected
 // is the replica that is to be at the other end; zero means any.
 func (n *network) sendHello(c *link.Conn[wire.Replica], expected uint64) error {
-	id := n.replica.store.Identity
+	id := n.replica.store.Identity()
 	return c.Send(wire.Replica{
 		ReplicaID: id.ReplicaID,
 		DiskID:    id.DiskID,
@@ -251,7 +251,7 @@
 		if err != nil {
 			return
 		}
-		if r.network.sendHello(c, 0) != nil || (peer.expected != 0 && peer.expected != r.store.Identity.ReplicaID) {
+		if r.network.sendHello(c, 0) != nil || (peer.expected != 0 && peer.expected != r.store.Identity().ReplicaID) {
 			return // the other end closes a link to a replica that it did not expect
 		}
 		r.network.registerLink(r.network.inbound, peer.id, c)
--- a/controller/internal/replica/replica.go
+++ b/controller/internal/replica/replica.go
@@ -57,6 +57,16 @@
 	ReplicaAddress(id uint64) string
 }
 
+// Store keeps what a replica must not lose. Every error of a write is final: the replica
+// stops, and what is durable is read when the store is opened again.
+type Store interface {
+	Identity() disk.Identity
+	Append(hard *raft.HardState, entries []raft.Entry) error
+	SaveSnapshot(snapshot raft.Snapshot, hard raft.HardState, after []raft.Entry) error
+	LoadSnapshot() (raft.Snapshot, error)
+	LogBytes() int64
+}
+
 // Settings configures a Replica.
 type Settings struct {
 	Raft raft.Settings
@@ -107,7 +117,7 @@
 // may be called from any goroutine.
 type Replica struct {
 	settings Settings
-	store    *disk.Store
+	store    Store
 	core     *raft.Core
 	log      *slog.Logger
 	network  *network
@@ -144,16 +154,16 @@
 // New returns a replica that continues from what the store has restored. It does
 // nothing before Run is called. Settings.Raft.ID is taken from the store. Without a
 // locator, members are reached at the addresses in the membership.
-func New(settings Settings, store *disk.Store, restored raft.Restored, dialer link.Dialer, locator Locator, log *slog.Logger) (*Replica, error) {
+func New(settings Settings, store Store, restored raft.Restored, dialer link.Dialer, locator Locator, log *slog.Logger) (*Replica, error) {
 	if settings.SnapshotEvery == 0 {
 		settings.SnapshotEvery = DefaultSnapshotEvery
 	}
-	settings.Raft.ID = store.Identity.ReplicaID
+	settings.Raft.ID = store.Identity().ReplicaID
 	machine, err := state.Restore(restored.Snapshot.Data)
 	if err != nil {
 		return nil, merry.Prepend(err, "restore the state machine from the disk's snapshot")
 	}
-	random := rand.New(rand.NewPCG(store.Identity.ReplicaID, uint64(time.Now().UnixNano())))
+	random := rand.New(rand.NewPCG(store.Identity().ReplicaID, uint64(time.Now().UnixNano())))
 	r := &Replica{
 		settings:         settings,
 		store:            store,
--- a/controller/internal/replica/status.go
+++ b/controller/internal/replica/status.go
@@ -40,7 +40,7 @@
 	r.mu.RUnlock()
 	committed, index := r.core.CommittedMembers()
 	status := &Status{
-		ReplicaID: r.store.Identity.ReplicaID,
+		ReplicaID: r.store.Identity().ReplicaID,
 		Role:      r.core.Role().String(),
 		Term:      r.core.Term(),
 		Leader:    r.core.Leader(),
--- a/controller/run.go
+++ b/controller/run.go
@@ -105,7 +105,7 @@
 	if s.PlatformListURL != "" {
 		go platform.Poll(ctx, s.PlatformListURL, p.hub.SetLeavingHosts)
 	}
-	log.Info("controller started", "listen", s.Listen, "replica", store.Identity.ReplicaID)
+	log.Info("controller started", "listen", s.Listen, "replica", store.Identity().ReplicaID)
 	err = r.Run(ctx)
 	cancel()
 	drainCtx, stop := context.WithTimeout(context.Background(), drainTimeout)
--- a/fleet/disk/store.go
+++ b/fleet/disk/store.go
@@ -53,8 +53,7 @@
 
 // Store is an open data folder. It is not safe for concurrent use.
 type Store struct {
-	Identity Identity
-
+	identity Identity
 	folder   string
 	lock     *os.File
 	log      *os.File
@@ -135,7 +134,7 @@
 	if err != nil {
 		return merry.Prepend(err, "read the identity")
 	}
-	return decodeFile(data, identityFile, &s.Identity)
+	return decodeFile(data, identityFile, &s.identity)
 }
 
 // decodeFile decodes into target the content of a file that is one record.
@@ -155,10 +154,10 @@
 func (s *Store) readSnapshot(snapshot *raft.Snapshot) error {
 	data, err := os.ReadFile(filepath.Join(s.folder, snapshotFile))
 	if errors.Is(err, fs.ErrNotExist) {
-		if s.Identity.Members != nil {
+		if s.identity.Members != nil {
 			snapshot.Index = 1
 			snapshot.Term = 1
-			snapshot.Members = s.Identity.Members.Clone()
+			snapshot.Members = s.identity.Members.Clone()
 			for _, m := range snapshot.Members.List {
 				if snapshot.Members.Group == 0 || m.ID < snapshot.Members.Group {
 					snapshot.Members.Group = m.ID
@@ -173,6 +172,9 @@
 	return decodeFile(data, snapshotFile, snapshot)
 }
 
+// Identity returns the identity of the folder's replica.
+func (s *Store) Identity() Identity { return s.identity }
+
 // LogBytes returns the current size of the log file in bytes.
 func (s *Store) LogBytes() int64 { return s.logBytes }
 
--- a/fleet/membership/power_disk_test.go
+++ b/fleet/membership/power_disk_test.go
@@ -172,5 +172,5 @@
 	}
 	defer store.Close()
 	f.files[logFile], err = os.ReadFile(filepath.Join(scratch, logFile))
-	return store.Identity, restored, err
+	return store.Identity(), restored, err
 }
