controller: the line about a missing leader says first what decides

`no leader is known` had its reason as a sentence, after two long identifiers, and nothing of it was in the users' record but the message. It counted from the start of a replica, not of the process, could not tell silent links from refused votes, and pushed out each second what came before.

The reason is a short code, silent_links is new: a majority is linked, and the running replica has handled no message of one since there is no leader. Messages are counted where the control goroutine takes them, so that links which feed another replica do not count. Counts of voters heard, linked and granting come next, then how often a replica of this process was stopped and why. peer.Member passes that to the next replica in Settings.History, with the time since when there is no leader. Lines come after 1, 2, 4 and each 8 s, and `leader is known again` says for how long there was none.

`replica stopped` has a short cause, the number of stops, failed starts and how long the replica ran before the detail; while it repeats within a second, its lines and those of the starts between are spaced in the same way, as are those about an empty data folder. Gauges: controller_voters_heard, controller_replica_stops_total.

No decision depends on any of this.

--- a/controller/internal/peer/member.go
+++ b/controller/internal/peer/member.go
@@ -20,6 +20,7 @@
 	"baobabpaddle/fleet/problem"
 	"baobabpaddle/fleet/raft"
 	"baobabpaddle/fleet/state"
+	"baobabpaddle/fleet/telemetry"
 )
 
 // Timings and sizes of a Member.
@@ -27,8 +28,10 @@
 	// retryInterval is the pause before a disk that failed is opened again, and
 	// between two attempts to join the group.
 	retryInterval = 200 * time.Millisecond
-	// waitLogInterval is the time between two log lines about an empty data folder.
-	waitLogInterval = time.Second
+	// waitLogInterval is the first time between two log lines about an empty data folder, and
+	// waitLogMaxInterval the largest.
+	waitLogInterval    = time.Second
+	waitLogMaxInterval = 8 * time.Second
 	// diskIDBytes is the size of a disk identifier before its encoding.
 	diskIDBytes = 16
 	// replicaIDBits is the size of a generated replica identifier; below 64 bits it is
@@ -60,9 +63,10 @@
 	open func(folder string) (Store, raft.Restored, error)
 
 	current atomic.Pointer[replica.Replica] // nil while none runs
-	// waitLogAt is when an empty data folder that waits for a group is logged next. Only
-	// the goroutine of Run uses it.
-	waitLogAt time.Time
+	// waitPace spaces the lines about an empty data folder that waits for a group. Only the
+	// goroutine of Run uses it.
+	waitPace telemetry.Pace
+	stops    stops
 }
 
 // NewMember returns a member with the given data folder; an empty folder means that
@@ -75,6 +79,11 @@
 		dialer:   dialer,
 		log:      log,
 		open:     openFolder,
+		waitPace: telemetry.Pace{
+			First: waitLogInterval,
+			Max:   waitLogMaxInterval,
+		},
+		stops: newStops(log),
 	}
 }
 
@@ -86,8 +95,12 @@
 		return
 	}
 	for ctx.Err() == nil {
+		before := m.stops.history.Stops
 		if err := m.runReplica(ctx); err != nil && ctx.Err() == nil {
-			m.log.Warn("replica stopped, started again from its data folder", "cause", err)
+			if m.stops.history.Stops == before {
+				m.stops.noteFailedStart()
+			}
+			m.stops.logStop(err, time.Now())
 		}
 		select {
 		case <-ctx.Done():
@@ -108,8 +121,10 @@
 		return err
 	}
 	defer store.Close()
+	settings := m.settings
+	settings.History = m.stops.history
 	id := store.Identity().ReplicaID
-	r, err := replica.New(m.settings, store, restored, m.dialer, m.peers, m.log)
+	r, err := replica.New(settings, store, restored, m.dialer, m.peers, m.log)
 	if err != nil {
 		return err
 	}
@@ -121,15 +136,21 @@
 		cancel()
 	})
 	m.current.Store(r)
-	m.log.Info("replica started", "replica", id, "last_index", restored.Snapshot.Index+uint64(len(restored.Entries)))
+	if !m.stops.unlogged {
+		m.log.Info("replica started", "stops", m.stops.history.Stops,
+			"last_index", restored.Snapshot.Index+uint64(len(restored.Entries)), "replica", id)
+	}
+	started := time.Now()
 	err = r.Run(ctx)
 	m.current.Store(nil)
 	select {
 	case <-removed:
+		m.stops.noteStop(r.Status(), causeRemoved, started, time.Now())
 		m.log.Info("replica was removed from the group, its data folder is erased", "replica", id)
 		m.peers.withCore(func(c *membership.Core) { c.SetReplica(0) })
 		return disk.Erase(m.folder)
 	default:
+		m.stops.noteStop(r.Status(), stopCause(err), started, time.Now())
 		return err
 	}
 }
@@ -164,17 +185,16 @@
 			},
 		}
 	}
+	m.waitPace.Reset()
 	m.log.Info("data folder prepared", "replica", identity.ReplicaID, "founds", step == membership.Bootstrap)
 	return disk.Init(m.folder, identity)
 }
 
-// logWait logs, at most once in waitLogInterval, that no group is known to join.
+// logWait logs at growing intervals that no group is known to join.
 func (m *Member) logWait() {
-	now := time.Now()
-	if now.Before(m.waitLogAt) {
+	if !m.waitPace.Due(time.Now()) {
 		return
 	}
-	m.waitLogAt = now.Add(waitLogInterval)
 	gossip := m.peers.Gossip()
 	m.log.Info("data folder is empty and no group is known yet", "founder", gossip.Founder,
 		"first_start", gossip.Self.FirstStart, "peers", len(gossip.Peers))
@@ -253,6 +273,9 @@
 	}
 }
 
+// ReplicaStops returns the number of replicas that have stopped in this process.
+func (m *Member) ReplicaStops() uint64 { return m.stops.count.Load() }
+
 // Replica returns the running replica, or nil.
 func (m *Member) Replica() *replica.Replica { return m.current.Load() }
 
--- a/controller/internal/replica/network.go
+++ b/controller/internal/replica/network.go
@@ -14,6 +14,7 @@
 	"baobabpaddle/fleet/credential"
 	"baobabpaddle/fleet/link"
 	"baobabpaddle/fleet/raft"
+	"baobabpaddle/fleet/telemetry"
 	"baobabpaddle/fleet/wire"
 )
 
@@ -42,9 +43,9 @@
 	// membersChanged has the goroutine of start compare the links with a new membership.
 	membersChanged chan struct{}
 
-	// leaderlessSince is when the goroutine of start first found that no leader is
-	// known; zero while one is. Only that goroutine uses it.
-	leaderlessSince time.Time
+	// leaderlessPace spaces the lines about a missing leader. Only the goroutine of start
+	// uses it.
+	leaderlessPace telemetry.Pace
 }
 
 func newNetwork(r *Replica, dialer link.Dialer) *network {
@@ -56,6 +57,10 @@
 		cancels:        make(map[uint64]context.CancelFunc),
 		peerDisks:      make(map[uint64]string),
 		membersChanged: make(chan struct{}, 1),
+		leaderlessPace: telemetry.Pace{
+			First: peerCheckInterval,
+			Max:   leaderlessMaxInterval,
+		},
 	}
 }
 
--- a/controller/internal/replica/replica.go
+++ b/controller/internal/replica/replica.go
@@ -79,6 +79,8 @@
 	// DisableGroupCommit gives every proposal a sync of its own, as a baseline for
 	// measurements of group commit.
 	DisableGroupCommit bool
+	// History is what happened in this process before, for log lines.
+	History History
 }
 
 // outcome is the result of a proposal, or the reason why there is none.
@@ -121,6 +123,7 @@
 	core     *raft.Core
 	log      *slog.Logger
 	network  *network
+	arrivals arrivals
 	locator  Locator // nil if members don't move
 
 	proposals chan *proposal
@@ -165,11 +168,14 @@
 	}
 	random := rand.New(rand.NewPCG(store.Identity().ReplicaID, uint64(time.Now().UnixNano())))
 	r := &Replica{
-		settings:         settings,
-		store:            store,
-		core:             raft.New(settings.Raft, restored, random, time.Now()),
-		log:              log,
-		locator:          locator,
+		settings: settings,
+		store:    store,
+		core:     raft.New(settings.Raft, restored, random, time.Now()),
+		log:      log,
+		locator:  locator,
+		arrivals: arrivals{
+			last: make(map[uint64]time.Time),
+		},
 		proposals:        make(chan *proposal, queueLength),
 		members:          make(chan membersProposal),
 		reads:            make(chan readRequest, queueLength),
@@ -273,6 +279,9 @@
 // step passes messages of other replicas to the core.
 func (r *Replica) step(messages []raft.Message) {
 	now := time.Now()
+	if len(messages) > 0 {
+		r.arrivals.note(messages[0].From, now) // the messages of a frame have one sender
+	}
 	for _, m := range messages {
 		r.core.Step(now, m)
 	}
--- a/controller/internal/replica/status.go
+++ b/controller/internal/replica/status.go
@@ -1,6 +1,10 @@
 package replica
 
-import "baobabpaddle/fleet/raft"
+import (
+	"time"
+
+	"baobabpaddle/fleet/raft"
+)
 
 // Status describes a replica at the end of its last batch.
 type Status struct {
@@ -31,6 +35,8 @@
 	// CommittedMembersIndex is the log index of the entry, or of the snapshot, that
 	// holds CommittedMembers.
 	CommittedMembersIndex uint64 `json:"-"`
+	// LeaderlessSince is since when this process has known no leader; zero while one is known.
+	LeaderlessSince time.Time `json:"-"`
 }
 
 // publishStatus makes the present status visible to other goroutines.
@@ -57,7 +63,10 @@
 		CommittedMembers:      committed,
 		CommittedMembersIndex: index,
 	}
-	if before := r.status.Swap(status); before != nil {
+	before := r.status.Load() // only the control goroutine stores it
+	status.LeaderlessSince = r.leaderlessSince(before, status)
+	r.status.Store(status)
+	if before != nil {
 		r.logMembers(before, status)
 	}
 }
--- a/controller/serve_metrics.go
+++ b/controller/serve_metrics.go
@@ -27,6 +27,8 @@
 		return float64(members.Voters())
 	}))
 	m.Gauge("controller_voters_linked", p.replicaGauge(func(r *replica.Replica) float64 { return float64(r.LinkedVoters()) }))
+	m.Gauge("controller_voters_heard", p.replicaGauge(func(r *replica.Replica) float64 { return float64(r.HeardVoters()) }))
+	m.Gauge("controller_replica_stops_total", func() float64 { return float64(p.member.ReplicaStops()) })
 	m.Gauge("controller_members_index", p.replicaGauge(func(r *replica.Replica) float64 { return float64(r.Status().MembersIndex) }))
 	m.Gauge("controller_term", p.replicaGauge(func(r *replica.Replica) float64 { return float64(r.Status().Term) }))
 	m.Gauge("controller_commit_index", p.replicaGauge(func(r *replica.Replica) float64 { return float64(r.Status().Commit) }))
