operator: reads that fail again in the same way are logged at growing intervals

Operators repeat a refused read several times a second, each with a line. In the users' record these lines pushed out what came before, so that the last five lines of a log covered two seconds. A read that fails with the same status, code and detail as the one before now has a line after 1, 2, 4 and each 8 s, with the number left out since the last line; another failure has one at once. Changes, and answers that are no error, keep a line each.

--- a/controller/internal/operator/configuration.go
+++ b/controller/internal/operator/configuration.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"log/slog"
@@ -47,6 +46,7 @@
 	directory      Directory
 	toleratedHosts int
 	log            *slog.Logger
+	failedReads    failedReads
 }
 
 // NewConfigurationAPI returns the API. The first configuration is not accepted before
@@ -203,70 +203,3 @@
 	}
 	return own
 }
-
-// loggedResponse is a http.ResponseWriter that records what the log line of an answer
-// holds. Handlers set version to that of the configuration.
-type loggedResponse struct {
-	http.ResponseWriter
-	status  int
-	version uint64
-	body    []byte // the first maxErrorBytes of an error's body
-}
-
-// Limits of what is logged of an answer.
-const (
-	// maxErrorBytes bounds how much of an error's body is kept.
-	maxErrorBytes = 4 << 10
-	// maxDetailBytes bounds the logged detail of an error.
-	maxDetailBytes = 400
-)
-
-// WriteHeader implements http.ResponseWriter. It records the status.
-func (l *loggedResponse) WriteHeader(status int) {
-	l.status = status
-	l.ResponseWriter.WriteHeader(status)
-}
-
-// Write implements http.ResponseWriter. It records the beginning of an error's body.
-func (l *loggedResponse) Write(data []byte) (int, error) {
-	if l.status >= http.StatusBadRequest {
-		l.body = append(l.body, data[:min(len(data), maxErrorBytes-len(l.body))]...)
-	}
-	return l.ResponseWriter.Write(data)
-}
-
-// logged returns a handler that logs each answer under the message, as a warning if its
-// status is an error.
-func (c *ConfigurationAPI) logged(message string, handle func(*loggedResponse, *http.Request)) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		started := time.Now()
-		response := &loggedResponse{
-			ResponseWriter: w,
-			status:         http.StatusOK,
-		}
-		handle(response, r)
-		level := slog.LevelInfo
-		if response.status >= http.StatusBadRequest {
-			level = slog.LevelWarn
-		}
-		fields := append([]any{"status", response.status}, response.problemFields()...)
-		c.log.Log(r.Context(), level, message, append(fields, "version", response.version,
-			"took_ms", time.Since(started).Milliseconds(), "from", r.RemoteAddr)...)
-	}
-}
-
-// problemFields returns the code and the detail of an error for the log, or the beginning of its
-// body if that holds no problem.
-func (l *loggedResponse) problemFields() []any {
-	if len(l.body) == 0 {
-		return nil
-	}
-	var p problem.Problem
-	if err := json.Unmarshal(l.body, &p); err != nil || p.Code == "" {
-		return []any{"detail", bounded(string(l.body))}
-	}
-	return []any{"code", string(p.Code), "detail", bounded(p.Detail)}
-}
-
-// bounded returns the beginning of a text.
-func bounded(text string) string { return text[:min(len(text), maxDetailBytes)] }
--- a/controller/internal/operator/logged_test.go
+++ b/controller/internal/operator/logged_test.go
@@ -7,6 +7,7 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -27,7 +28,7 @@
 	}{
 		"no leader": {
 			answer: func(w *loggedResponse, _ *http.Request) { unavailable(w, "no quorum: no leader is known") },
-			want:   `"status":503,"code":"no_quorum","detail":"no quorum: no leader is known","version":0,`,
+			want:   `"status":503,"code":"no_quorum","detail":"no quorum: no leader is known","left_out":0,"version":0,`,
 		},
 		"conflict with a large present value": {
 			answer: func(w *loggedResponse, _ *http.Request) {
@@ -36,11 +37,11 @@
 				p.Present = bytes.Repeat([]byte("x"), 600)
 				p.Write(w)
 			},
-			want: `"status":409,"code":"version_conflict","detail":"version 14 is newer","version":13,`,
+			want: `"status":409,"code":"version_conflict","detail":"version 14 is newer","left_out":0,"version":13,`,
 		},
 		"no problem document": {
 			answer: func(w *loggedResponse, _ *http.Request) { http.Error(w, "broken", http.StatusInternalServerError) },
-			want:   `"status":500,"detail":"broken\n","version":0,`,
+			want:   `"status":500,"detail":"broken\n","left_out":0,"version":0,`,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -54,3 +55,27 @@
 		})
 	}
 }
+
+// TestRepeatedFailedReadsAreSpaced guards against reads that fail several times a second and
+// push out of the log what came before.
+func TestRepeatedFailedReadsAreSpaced(t *testing.T) {
+	is := is.New(t)
+	var f failedReads
+	now := time.Unix(1_000_000, 0)
+	lines, leftOut := 0, 0
+	const reads = 40
+	for range reads { // eight seconds
+		now = now.Add(200 * time.Millisecond)
+		if n, due := f.note("configuration read answered", []any{"detail", "no leader is known"}, now); due {
+			lines++
+			leftOut += n
+		}
+	}
+	is.Equal(lines, 4) // after 0, 1, 3 and 7 seconds
+	n, due := f.note("configuration read answered", []any{"detail", "there is no configuration yet"}, now)
+	is.True(due) // another failure
+	is.Equal(lines+leftOut+n, reads)
+	now = now.Add(failedReadMaxInterval + time.Second)
+	_, due = f.note("configuration read answered", []any{"detail", "there is no configuration yet"}, now)
+	is.True(due) // after a pause
+}
