forward: the description of a failed forward names it once

A change that went round between controllers without a leader was answered and logged with "forward to the leader: twirp error unavailable:" once for each of its forwards, so that the cause, "forwarded too often", was beyond the 200 characters of a line that the users' record keeps. The error still wraps the one of the call.

--- a/controller/internal/forward/forward.go
+++ b/controller/internal/forward/forward.go
@@ -6,8 +6,10 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/twitchtv/twirp"
 
 	"baobabpaddle/controller/internal/replica"
 	"baobabpaddle/fleet/controller/rpc"
@@ -66,7 +68,21 @@
 		Hops:    hops + 1,
 	})
 	if err != nil {
-		return state.Result{}, merry.Prepend(err, "forward to the leader")
+		return state.Result{}, merry.Wrap(err, merry.WithMessage(describe(err)))
 	}
 	return result, state.Decode(reply.Result, &result)
 }
+
+// forwarded begins the description of a failed forward.
+const forwarded = "forward to the leader: "
+
+// describe returns the description of a failed forward. It names the forward once, however
+// often the command was forwarded, so that the cause is near the beginning.
+func describe(err error) string {
+	text := err.Error()
+	var remote twirp.Error
+	if errors.As(err, &remote) {
+		text = remote.Msg()
+	}
+	return forwarded + strings.TrimPrefix(text, forwarded)
+}
