replica: a link ends with the replica that it is for

What callers saw: after the disks of two voters had been full or had failed for a while, one after the other, changes were refused, reads of the configuration answered with 503 and, once the proof of their configuration had run out, requests refused by all gateways, until processes were ended.

Cause: a replica whose disk fails stops and is started again in the same process. Links that others had opened to it were accepted under the context of the process, so they outlived it: heartbeats went on, and messages were queued for the replica that nobody ran any more. The others prefer the links that they have opened, so the new replica sent and never received: it asked for votes for ever. With two such voters of three there is no majority that hears the others.

Change: the network of a replica owns the context of all its links, the accepted ones included, and ends it when the replica stops. The other ends see the link close and open one to the replica that is started next. Handlers take no context of the process any more.

--- a/controller/internal/peer/fleet_test.go
+++ b/controller/internal/peer/fleet_test.go
@@ -212,7 +212,7 @@
 	h.forward = forward.New(h.member, cred)
 	ctx, cancel := context.WithCancel(context.Background())
 	mux := http.NewServeMux()
-	mux.Handle("GET "+wire.PathReplica, h.member.Handler(ctx, dialer))
+	mux.Handle("GET "+wire.PathReplica, h.member.Handler())
 	unary := rpc.NewControllerServer(NewUnary(h.member, h.forward))
 	mux.Handle(unary.PathPrefix(), unary)
 	server := program.NewServer(mux)
--- a/controller/internal/peer/member.go
+++ b/controller/internal/peer/member.go
@@ -305,15 +305,15 @@
 	return m.peers.Group().Leader
 }
 
-// Handler accepts the links of other replicas. It answers with status 503 while this
-// controller runs no replica.
-func (m *Member) Handler(ctx context.Context, dialer link.Dialer) http.Handler {
+// Handler accepts links of other replicas for the replica that runs. It answers with
+// status 503 while this controller runs none.
+func (m *Member) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		r := m.current.Load()
 		if r == nil {
 			problem.New(http.StatusServiceUnavailable, problem.NotReady, ErrNoReplica.Error()).Write(w)
 			return
 		}
-		r.Handler(ctx, dialer).ServeHTTP(w, request)
+		r.Handler().ServeHTTP(w, request)
 	})
 }
--- a/controller/internal/replica/network.go
+++ b/controller/internal/replica/network.go
@@ -22,11 +22,16 @@
 // membership.
 const peerCheckInterval = time.Second
 
-// network exchanges messages with the other replicas, over one link to each.
+// network exchanges messages with the other replicas, over one link to each. It owns all
+// links that carry messages of its replica, whichever end has opened them: they end with
+// the replica, so that the other ends open links to the one that is started next.
 type network struct {
 	replica    *Replica
 	dialer     link.Dialer
 	goroutines sync.WaitGroup
+	// ctx ends with the replica.
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	// mu guards the following maps. Their keys are replica identifiers.
 	mu sync.Mutex
@@ -49,9 +54,12 @@
 }
 
 func newNetwork(r *Replica, dialer link.Dialer) *network {
+	ctx, cancel := context.WithCancel(context.Background())
 	return &network{
 		replica:        r,
 		dialer:         dialer,
+		ctx:            ctx,
+		cancel:         cancel,
 		outbound:       make(links),
 		inbound:        make(links),
 		cancels:        make(map[uint64]context.CancelFunc),
@@ -65,19 +73,19 @@
 }
 
 // start maintains a link to every member and has the disks of peers recorded, until
-// the context ends.
-func (n *network) start(ctx context.Context) {
+// stop is called.
+func (n *network) start() {
 	n.goroutines.Go(func() {
 		ticker := time.NewTicker(peerCheckInterval)
 		defer ticker.Stop()
 		for {
-			n.reconcileLinks(ctx)
+			n.reconcileLinks()
 			select {
-			case <-ctx.Done():
+			case <-n.ctx.Done():
 				return
 			case <-n.membersChanged:
 			case <-ticker.C:
-				n.bindPeerDisks(ctx)
+				n.bindPeerDisks(n.ctx)
 				n.watchLeader(time.Now())
 			}
 		}
@@ -93,11 +101,14 @@
 	}
 }
 
-// wait returns when the goroutines of start have ended.
-func (n *network) wait() { n.goroutines.Wait() }
+// stop closes all links and returns when the goroutines of start have ended.
+func (n *network) stop() {
+	n.cancel()
+	n.goroutines.Wait()
+}
 
 // reconcileLinks starts a link to each new member and ends the links to former ones.
-func (n *network) reconcileLinks(ctx context.Context) {
+func (n *network) reconcileLinks() {
 	status := n.replica.Status()
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -105,7 +116,7 @@
 		if m.ID == status.ReplicaID || n.cancels[m.ID] != nil || n.replica.lost(m) {
 			continue
 		}
-		peerCtx, cancel := context.WithCancel(ctx)
+		peerCtx, cancel := context.WithCancel(n.ctx)
 		n.cancels[m.ID] = cancel
 		n.goroutines.Go(func() { n.maintainLink(peerCtx, m) })
 	}
@@ -246,9 +257,9 @@
 	}
 }
 
-// Handler accepts the links of other replicas.
-func (r *Replica) Handler(ctx context.Context, dialer link.Dialer) http.Handler {
-	return link.Handler(ctx, dialer, func(_ credential.Peer, c *link.Conn[wire.Replica]) {
+// Handler accepts the links of other replicas, which end with this one.
+func (r *Replica) Handler() http.Handler {
+	return link.Handler(r.network.ctx, r.network.dialer, func(_ credential.Peer, c *link.Conn[wire.Replica]) {
 		peer, err := r.network.receiveHello(c)
 		if errors.Is(err, ErrDiskMismatch) || errors.Is(err, errOtherGroup) {
 			r.log.Warn("inbound link of a replica refused", "cause", err)
@@ -262,7 +273,7 @@
 		r.network.registerLink(r.network.inbound, peer.id, c)
 		defer r.network.unregisterLink(r.network.inbound, peer.id, c)
 		// The other end dials again after the link is lost.
-		_ = r.receive(ctx, peer, c)
+		_ = r.receive(r.network.ctx, peer, c)
 	})
 }
 
--- a/controller/internal/replica/network_test.go
+++ b/controller/internal/replica/network_test.go
@@ -71,7 +71,7 @@
 	r.Replica, err = New(Settings{}, store, restored, r.dialer, nil, slog.New(slog.DiscardHandler))
 	is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
-	server.Config.Handler = r.Handler(ctx, r.dialer)
+	server.Config.Handler = r.Handler()
 	server.Start()
 	done := make(chan struct{})
 	go func() {
--- a/controller/internal/replica/replica.go
+++ b/controller/internal/replica/replica.go
@@ -155,7 +155,7 @@
 }
 
 // New returns a replica that continues from what the store has restored. It does
-// nothing before Run is called. Settings.Raft.ID is taken from the store. Without a
+// nothing before Run is called, but accepts links, which end when Run returns. Settings.Raft.ID is taken from the store. Without a
 // locator, members are reached at the addresses in the membership.
 func New(settings Settings, store Store, restored raft.Restored, dialer link.Dialer, locator Locator, log *slog.Logger) (*Replica, error) {
 	if settings.SnapshotEvery == 0 {
@@ -201,11 +201,9 @@
 // another disk (ErrDiskMismatch).
 func (r *Replica) Run(ctx context.Context) error {
 	defer close(r.stopped)
-	defer r.network.wait()
 	// The links outlive the context, so that leadership can be transferred.
-	links, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	r.network.start(links)
+	defer r.network.stop()
+	r.network.start()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
--- a/controller/internal/replica/second_group_test.go
+++ b/controller/internal/replica/second_group_test.go
@@ -59,7 +59,7 @@
 	}, store, restored, dialer, nil, slog.New(slog.DiscardHandler))
 	is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
-	server := httptest.NewServer(r.Handler(ctx, dialer))
+	server := httptest.NewServer(r.Handler())
 	var running sync.WaitGroup
 	running.Go(func() { _ = r.Run(ctx) }) // ends with the context
 	t.Cleanup(func() {
--- a/controller/internal/replica/second_link_test.go
+++ b/controller/internal/replica/second_link_test.go
@@ -39,7 +39,7 @@
 	t.Cleanup(store.Close)
 	r, err := New(Settings{}, store, restored, dialer, nil, slog.New(slog.DiscardHandler))
 	is.NoErr(err)
-	server := httptest.NewServer(r.Handler(t.Context(), dialer))
+	server := httptest.NewServer(r.Handler())
 	t.Cleanup(server.Close)
 	return r, strings.TrimPrefix(server.URL, "http://")
 }
--- a/controller/run.go
+++ b/controller/run.go
@@ -129,7 +129,7 @@
 func (p *runProcess) handler(ctx context.Context) http.Handler {
 	c := p.credential
 	mux := http.NewServeMux()
-	mux.Handle("GET "+wire.PathReplica, c.Require(p.replica.Handler(ctx, p.dialer), credential.Controller))
+	mux.Handle("GET "+wire.PathReplica, c.Require(p.replica.Handler(), credential.Controller))
 	mux.Handle("GET "+wire.PathNode, c.Require(p.hub.Handler(ctx, p.dialer), credential.Gateway, credential.Sidecar))
 	mux.Handle("GET "+wire.PathAccount, c.Require(p.accounts.Handler(ctx, p.dialer), credential.Sidecar))
 	unary := rpc.NewControllerServer(node.NewUnary(p.replica, p.forward))
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -156,7 +156,7 @@
 // handler returns the routes for the fleet's processes.
 func (p *serveProcess) handler(ctx context.Context, cred *credential.Credential, dialer link.Dialer) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET "+wire.PathReplica, cred.Require(p.member.Handler(ctx, dialer), credential.Controller))
+	mux.Handle("GET "+wire.PathReplica, cred.Require(p.member.Handler(), credential.Controller))
 	mux.Handle("GET "+wire.PathServe, cred.Require(p.hub.Handler(ctx, dialer), credential.Gateway))
 	unary := rpc.NewControllerServer(peer.NewUnary(p.member, p.forward))
 	mux.Handle(unary.PathPrefix(), cred.Require(unary, credential.Controller))
