peer: a voter whose disk works again must serve within 4 s

The tests of failing disks also check when the voter itself serves reads, and have a disk on which the data folder can't be opened meanwhile.

--- a/controller/internal/peer/disk_faults_test.go
+++ b/controller/internal/peer/disk_faults_test.go
@@ -19,16 +19,14 @@
 	calmTime = time.Second
 )
 
-// diskFault is a fault of one disk, during which the process lives on.
-type diskFault struct {
-	err   error
-	delay time.Duration
-}
-
 var diskFaults = map[string]diskFault{
 	"full": {
 		err: errDiskFull,
 	},
+	"full, the data folder can't be opened": {
+		err:        errDiskFull,
+		refuseOpen: true,
+	},
 	"failing": {
 		err: errDiskFault,
 	},
@@ -52,15 +50,18 @@
 			first := f.leader()
 			for i := range 4 {
 				h := f.hosts[(first+i)%len(f.hosts)]
-				h.disk.setFault(fault.err, fault.delay)
+				h.disk.setFault(fault)
 				for end := time.Now().Add(faultTime); time.Now().Before(end); {
 					f.change(changeBound)
 				}
 				if fault.err != nil && h.disk.failed() == 0 {
 					t.Fatal("no write has failed")
 				}
-				h.disk.setFault(nil, 0)
-				t.Logf("%s: a change took %s after the fault", h.address, f.change(recoveryBound))
+				h.disk.setFault(diskFault{})
+				ended := time.Now()
+				took := f.change(changeBound)
+				f.eventually("the voter serves", catchUpBound, func() bool { return f.version(h) == f.changes })
+				t.Logf("after the fault of %s a change took %s, and the voter served after %s", h.address, took, time.Since(ended))
 				time.Sleep(calmTime)
 			}
 			f.readBack(recoveryBound)
@@ -77,11 +78,13 @@
 	f.change(recoveryBound)
 	for i := range f.hosts {
 		h := f.hosts[i]
-		h.disk.setFault(errDiskFull, 0)
+		h.disk.setFault(diskFault{
+			err: errDiskFull,
+		})
 		f.change(changeBound)
 		time.Sleep(faultTime)
-		h.disk.setFault(nil, 0)
-		f.change(recoveryBound)
+		h.disk.setFault(diskFault{})
+		f.change(changeBound)
 		time.Sleep(calmTime)
 	}
 	lost := (f.leader() + 1) % len(f.hosts)
--- a/controller/internal/peer/fleet_test.go
+++ b/controller/internal/peer/fleet_test.go
@@ -43,6 +43,8 @@
 const (
 	// changeBound is within what a change must be accepted while one disk fails.
 	changeBound = 4 * time.Second
+	// catchUpBound is within what the voter of a disk that works again must serve reads.
+	catchUpBound = 4 * time.Second
 	// recoveryBound is within what a change must be accepted after the last fault.
 	recoveryBound = 12 * time.Second
 	// changeTimeout bounds one attempt to have a change accepted.
@@ -52,16 +54,23 @@
 // faultyDisk is the disk of a host. Its writes can be made to fail or to take longer.
 type faultyDisk struct {
 	mu     sync.Mutex
-	err    error         // of every write; nil if writes succeed
-	delay  time.Duration // of every write
-	writes int           // that failed
+	fault  diskFault
+	writes int // that failed
 }
 
-// setFault has every write fail with err, unless it is nil, after a delay.
-func (d *faultyDisk) setFault(err error, delay time.Duration) {
+// diskFault is a fault of one disk, during which the process lives on. The zero value is
+// none.
+type diskFault struct {
+	err        error         // of every write; nil if writes succeed
+	delay      time.Duration // of every write
+	refuseOpen bool          // opening the data folder fails with err, too
+}
+
+// setFault replaces the fault.
+func (d *faultyDisk) setFault(fault diskFault) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.err, d.delay, d.writes = err, delay, 0
+	d.fault, d.writes = fault, 0
 }
 
 // failed returns the number of writes that have failed since setFault.
@@ -74,13 +83,23 @@
 // write returns the error of a write.
 func (d *faultyDisk) write() error {
 	d.mu.Lock()
-	err, delay := d.err, d.delay
-	if err != nil {
+	fault := d.fault
+	if fault.err != nil {
 		d.writes++
 	}
 	d.mu.Unlock()
-	time.Sleep(delay)
-	return err
+	time.Sleep(fault.delay)
+	return fault.err
+}
+
+// open returns the error of opening the data folder.
+func (d *faultyDisk) open() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.fault.refuseOpen {
+		return d.fault.err
+	}
+	return nil
 }
 
 // faultyStore is a data folder on a faultyDisk.
@@ -200,6 +219,9 @@
 		},
 	}, h.peers, dialer, log)
 	h.member.open = func(folder string) (Store, raft.Restored, error) {
+		if err := h.disk.open(); err != nil {
+			return nil, raft.Restored{}, err
+		}
 		store, restored, err := disk.Open(folder)
 		if err != nil {
 			return nil, restored, err
@@ -221,7 +243,7 @@
 	running.Go(func() { h.peers.Run(ctx) })
 	running.Go(func() { h.member.Run(ctx) })
 	h.stop = sync.OnceFunc(func() {
-		h.disk.setFault(nil, 0)
+		h.disk.setFault(diskFault{})
 		cancel()
 		_ = server.Close() // nothing is left to do if that fails
 		running.Wait()
