peer: a replica that failed is started again once its disk takes a write

Cause: a data folder can be opened on a full disk; the replica stopped at its first write.

Change: after a stop in the same process the restored hard state is written once more before the replica is started. Reading two equal records gives the same state.

--- a/controller/internal/peer/disk_faults_test.go
+++ b/controller/internal/peer/disk_faults_test.go
@@ -50,6 +50,7 @@
 			first := f.leader()
 			for i := range 4 {
 				h := f.hosts[(first+i)%len(f.hosts)]
+				stops := h.member.ReplicaStops()
 				h.disk.setFault(fault)
 				for end := time.Now().Add(faultTime); time.Now().Before(end); {
 					f.change(changeBound)
@@ -57,6 +58,9 @@
 				if fault.err != nil && h.disk.failed() == 0 {
 					t.Fatal("no write has failed")
 				}
+				if got := h.member.ReplicaStops() - stops; fault.err != nil && got != 1 {
+					t.Fatalf("%d replicas stopped at one fault of a disk, want 1", got)
+				}
 				h.disk.setFault(diskFault{})
 				ended := time.Now()
 				took := f.change(changeBound)
--- a/controller/internal/peer/member.go
+++ b/controller/internal/peer/member.go
@@ -88,7 +88,7 @@
 }
 
 // Run keeps the replica running until the context ends. When its disk fails, the
-// replica stops and is started again from what is durable.
+// replica stops and is started again from what is durable, once the disk takes a write.
 func (m *Member) Run(ctx context.Context) {
 	if m.folder == "" {
 		<-ctx.Done()
@@ -121,6 +121,12 @@
 		return err
 	}
 	defer store.Close()
+	if m.stops.history.Stops > 0 {
+		// A replica on a disk that takes no writes would stop again at its first one.
+		if err := store.Append(&restored.HardState, nil); err != nil {
+			return err
+		}
+	}
 	settings := m.settings
 	settings.History = m.stops.history
 	id := store.Identity().ReplicaID
