controller, gateway: the hub's state and links end with the leader's term

What callers saw: the hub compared only every 100 ms whether this controller leads, and only while a gateway was linked. Leadership that was lost and regained in between, in the same process, as after a full disk, kept the links, the placements, the accounts and the platform's list of the term before, although another leader had served. When gateways had left before leadership was lost, the list of the former term was sent to them as the present one in the next.

Cause: nothing said to which term the state, a link or a list that was read belongs.

Why it works: a Term (replica and term of the log) owns links and state. The hub compares it before each event, and drops what was accepted or read in another one. A replica never leads twice in one term, so equal terms mean that nobody led in between. The origins tests set up their hub as Run does, by entering the term first.

--- a/controller/internal/gateway/handler.go
+++ b/controller/internal/gateway/handler.go
@@ -17,7 +17,8 @@
 		if err != nil || frame.Hello == nil {
 			return
 		}
-		if !h.confirmLeadership(ctx) {
+		term := h.confirmTerm(ctx)
+		if !term.Leads() {
 			_ = l.Send(wire.Serve{
 				Welcome: &wire.Welcome{
 					Leader:      h.replicas.LeaderAddress(),
@@ -30,6 +31,7 @@
 		}
 		c := &conn{
 			Conn:          l,
+			term:          term,
 			name:          frame.Hello.Name,
 			version:       frame.Hello.Version,
 			upstreamsHash: frame.Hello.UpstreamsHash,
@@ -53,15 +55,3 @@
 		})
 	})
 }
-
-// confirmLeadership reports whether this controller leads and a majority confirms
-// it.
-func (h *Hub) confirmLeadership(ctx context.Context) bool {
-	r := h.replicas.Replica()
-	if r == nil || !r.IsLeader() {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, welcomeTimeout)
-	defer cancel()
-	return r.Barrier(ctx) == nil && r.IsLeader()
-}
--- a/controller/internal/gateway/hub.go
+++ b/controller/internal/gateway/hub.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -30,7 +29,6 @@
 // Replicas provides this controller's replica, or nil, and the leader's address.
 type Replicas interface {
 	Replica() *replica.Replica
-	IsLeader() bool
 	LeaderAddress() string
 }
 
@@ -42,6 +40,7 @@
 // conn is the link to one gateway.
 type conn struct {
 	*link.Conn[wire.Serve]
+	term          Term // in which the link was accepted
 	name          string
 	version       uint64 // of the configuration that it was sent last
 	upstreamsHash uint64 // of the list of upstreams that it had when it connected
@@ -55,13 +54,14 @@
 }
 
 // event is an input of the control goroutine. One of its fields is set, except
-// that from and frame go together.
+// that from and frame, and upstreams and listTerm, go together.
 type event struct {
 	opened         *conn
 	closed         *conn
 	from           *conn
 	frame          wire.Serve
 	upstreams      []dispatch.Upstream
+	listTerm       Term // with upstreams: the term in which the list was read
 	confirmedPings []ping
 	// confirmedContinuations are requests for which the state was read with the confirmation of a
 	// majority.
@@ -78,8 +78,8 @@
 }
 
 // Hub holds the links of gateways and decides their requests for placement while
-// this controller leads. When leadership is lost, it closes the links and drops
-// everything but the configuration.
+// this controller leads. At the end of a Term it closes the links and drops everything
+// but the configuration.
 type Hub struct {
 	replicas  Replicas
 	directory Directory
@@ -96,6 +96,7 @@
 	nextListRequest time.Time
 
 	// The following fields belong to the control goroutine, which runs Run.
+	term      Term // that the links and the state belong to
 	scheduler *dispatch.Scheduler
 	conns     map[string]*conn             // by the gateway's name
 	active    *preparedConfiguration       // nil before a configuration was read
@@ -146,24 +147,6 @@
 	return h
 }
 
-// reset drops everything but the configuration, so that a next term as leader begins
-// with what the gateways then report.
-func (h *Hub) reset() {
-	h.scheduler = dispatch.New(dispatch.Settings{
-		RecordShortfalls: true,
-		Trials:           true,
-	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	h.conns = make(map[string]*conn)
-	h.replies = make(map[*conn][]dispatch.Decision)
-	h.upstreams = nil
-	h.origins, h.listed = nil, nil
-	h.rateLimits = nil
-	h.recorded = nil
-	if h.active != nil {
-		h.scheduler.SetConfiguration(h.active.table)
-	}
-}
-
 // GatewayCount returns the number of connected gateways.
 func (h *Hub) GatewayCount() int { return int(h.linked.Load()) }
 
@@ -188,17 +171,14 @@
 			h.drain()
 		case <-recording.C:
 			armed = false
+			h.followTerm()
 			h.recordOrigins(ctx)
 		case now := <-ticker.C:
+			h.followTerm()
 			h.reportObservations(now)
 			h.maintainQuarantine(ctx, now)
 			h.publishRateLimits(now)
 			h.decayTraffic(now)
-			if len(h.conns) > 0 && !h.replicas.IsLeader() {
-				h.log.Info("leadership lost, links to gateways closed", "gateways", len(h.conns))
-				h.closeAll()
-				h.reset()
-			}
 			h.removeVersions(ctx, now)
 		}
 		if delay, ok := h.originsPending(); ok && !armed {
@@ -236,8 +216,10 @@
 }
 
 // handle handles one event. A newer configuration is sent before the pongs that come
-// with it, since a pong proves that the gateway's configuration is the newest.
+// with it, since a pong proves that the gateway's configuration is the newest. What comes
+// from an earlier term is dropped.
 func (h *Hub) handle(e event) {
+	h.followTerm()
 	switch {
 	case e.opened != nil:
 		h.open(e.opened)
@@ -246,7 +228,9 @@
 	case e.from != nil:
 		h.receive(e.from, e.frame)
 	case e.upstreams != nil:
-		h.setUpstreams(e.upstreams)
+		if e.listTerm == h.term {
+			h.setUpstreams(e.upstreams)
+		}
 	case e.confirmedContinuations != nil:
 		for _, t := range e.confirmedContinuations {
 			h.continueConfirmed(t)
@@ -269,8 +253,12 @@
 }
 
 // open takes a gateway's link in place of its former one, and sends what differs from
-// what the gateway has.
+// what the gateway has. It closes a link that was accepted in an earlier term.
 func (h *Hub) open(c *conn) {
+	if c.term != h.term {
+		c.Close()
+		return
+	}
 	if old := h.conns[c.name]; old != nil {
 		old.Close()
 	}
--- a/controller/internal/gateway/origins.go
+++ b/controller/internal/gateway/origins.go
@@ -182,7 +182,7 @@
 // originsPending reports whether a change of the history is to be proposed, and after which
 // time. New versions don't wait, since their upstreams get no requests before.
 func (h *Hub) originsPending() (time.Duration, bool) {
-	if h.origins == nil || !h.origins.Pending() || !h.replicas.IsLeader() {
+	if h.origins == nil || !h.origins.Pending() || !h.term.Leads() {
 		return 0, false
 	}
 	if h.origins.Adds() && !h.originsFailed {
--- a/controller/internal/gateway/origins_test.go
+++ b/controller/internal/gateway/origins_test.go
@@ -28,8 +28,6 @@
 
 func (o oneReplica) Replica() *replica.Replica { return o.replica }
 
-func (o oneReplica) IsLeader() bool { return o.replica.IsLeader() }
-
 func (o oneReplica) LeaderAddress() string { return o.replica.LeaderAddress() }
 
 // originHub is a hub at a replica that leads a group of one. Its control goroutine is the
@@ -89,6 +87,7 @@
 		t:   t,
 		ctx: ctx,
 	}
+	h.followTerm()
 	h.loadOrigins()
 	return h
 }
--- a/controller/internal/gateway/upstreams.go
+++ b/controller/internal/gateway/upstreams.go
@@ -15,11 +15,12 @@
 // while there is none.
 const listRequestInterval = 150 * time.Millisecond
 
-// SetUpstreams replaces the list of upstreams by the platform's present one. It waits
-// while the event queue is full.
-func (h *Hub) SetUpstreams(ctx context.Context, list []dispatch.Upstream) {
+// SetUpstreams replaces the list of upstreams by the platform's, which was read in the
+// given term, as long as that term lasts. It waits while the event queue is full.
+func (h *Hub) SetUpstreams(ctx context.Context, read Term, list []dispatch.Upstream) {
 	h.post(ctx, event{
 		upstreams: list,
+		listTerm:  read,
 	})
 }
 
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -178,11 +178,11 @@
 	defer ticker.Stop()
 	failed := false
 	for {
-		if p.member.IsLeader() {
+		if term := p.hub.Term(); term.Leads() {
 			upstreams, err := list.Upstreams(ctx)
 			if err == nil {
 				p.listReadAt.Store(time.Now().UnixNano())
-				p.hub.SetUpstreams(ctx, upstreams)
+				p.hub.SetUpstreams(ctx, term, upstreams)
 			}
 			if failed != (err != nil) {
 				failed = err != nil
