controller, gateway: a gateway's new link replaces what its former link held

What callers saw: when a gateway linked again before the leader had noticed the end of its former link, as after a cut in one direction, requests that had ended in between took their slots until the gateway's last link was lost. Frames of the former link that were still queued were handled after the new link's report of requests in flight, and took slots, too.

Cause: opening a link replaced the entry of the former one and left its placements; frames were handled without asking whether their link is still in use.

Evidence: TestNewLinkReplacesPlacements and TestReplacedLinkIsNotHeard failed before: none of four requests was placed at the upstream that had nothing in flight, two are now.

Why it works: placements belong to a link, and are dropped when it is closed or replaced. The gateway reports what it has in flight first on each link.

--- a/controller/internal/gateway/hub.go
+++ b/controller/internal/gateway/hub.go
@@ -217,7 +217,7 @@
 
 // handle handles one event. A newer configuration is sent before the pongs that come
 // with it, since a pong proves that the gateway's configuration is the newest. What comes
-// from an earlier term is dropped.
+// from an earlier term or from a link that is no longer in use is dropped.
 func (h *Hub) handle(e event) {
 	h.followTerm()
 	switch {
@@ -226,7 +226,9 @@
 	case e.closed != nil:
 		h.close(e.closed)
 	case e.from != nil:
-		h.receive(e.from, e.frame)
+		if h.conns[e.from.name] == e.from {
+			h.receive(e.from, e.frame)
+		}
 	case e.upstreams != nil:
 		if e.listTerm == h.term {
 			h.setUpstreams(e.upstreams)
@@ -259,14 +261,15 @@
 		c.Close()
 		return
 	}
-	if old := h.conns[c.name]; old != nil {
-		old.Close()
-	}
 	if len(h.conns) == 0 {
 		h.servingSince = time.Now()
 		h.loadQuarantine()
 		h.loadOrigins()
 	}
+	if old := h.conns[c.name]; old != nil {
+		old.Close()
+		h.drop(old)
+	}
 	h.conns[c.name] = c
 	h.linked.Store(int64(len(h.conns)))
 	h.requestList(time.Now())
@@ -296,14 +299,20 @@
 	if h.conns[c.name] != c {
 		return
 	}
-	delete(h.conns, c.name)
-	delete(h.replies, c)
+	h.drop(c)
 	h.linked.Store(int64(len(h.conns)))
-	h.scheduler.RemoveGateway(time.Now(), c.name)
 	h.broadcastGatewayCount()
 	h.log.Info("gateway link lost", "gateway", c.name)
 }
 
+// drop removes a link and the requests that the gateway has in flight, which it reports on
+// its next one.
+func (h *Hub) drop(c *conn) {
+	delete(h.conns, c.name)
+	delete(h.replies, c)
+	h.scheduler.RemoveGateway(time.Now(), c.name)
+}
+
 // broadcastGatewayCount sends all gateways their number.
 func (h *Hub) broadcastGatewayCount() {
 	for _, c := range h.conns {
--- a/controller/internal/gateway/term_test.go
+++ b/controller/internal/gateway/term_test.go
@@ -268,3 +268,83 @@
 	})
 	g.awaitEnd("a link that was accepted in an earlier term is open")
 }
+
+// decide returns the decision on a request, which is not to go to excluded.
+func (g *gatewayLink) decide(id uint64, excluded string) dispatch.Decision {
+	g.t.Helper()
+	is := is.New(g.t)
+	is.NoErr(g.Send(wire.Serve{
+		PlacementRequests: []dispatch.Request{requestFor(id, excluded)},
+	}))
+	frame := g.await("decision", func(f wire.Serve) bool {
+		return len(f.Decisions) == 1 && f.Decisions[0].ID == id
+	})
+	return frame.Decisions[0]
+}
+
+func requestFor(id uint64, excluded string) dispatch.Request {
+	return dispatch.Request{
+		ID:       id,
+		Service:  "desk",
+		Excluded: []string{excluded},
+	}
+}
+
+// atFirst returns how many of four requests are placed at u1, of two upstreams with equal
+// slots: two if the leader counts no others in flight.
+func (g *gatewayLink) atFirst() (n int) {
+	g.t.Helper()
+	for id := range uint64(4) {
+		if g.decide(100+id, "").Upstream == "u1" {
+			n++
+		}
+	}
+	return n
+}
+
+// linkedWithList returns the link of a gateway to a hub with two upstreams.
+func (h *termHub) linkedWithList() *gatewayLink {
+	h.t.Helper()
+	g := h.dialGateway()
+	g.await("welcome", isWelcome)
+	h.SetUpstreams(h.t.Context(), h.Term(), append(listOf("u1"), listOf("u2")...))
+	g.await("list", hasList)
+	return g
+}
+
+// TestNewLinkReplacesPlacements guards against slots that are never freed: a gateway links
+// again before its former link is closed, and its requests have ended in between.
+func TestNewLinkReplacesPlacements(t *testing.T) {
+	is := is.New(t)
+	h := newTermHub(t)
+	g := h.linkedWithList()
+	for id := range uint64(4) {
+		is.Equal(g.decide(id+1, "u2").Upstream, "u1")
+	}
+	second := h.dialGateway()
+	second.await("welcome", isWelcome)
+	g.awaitEnd("the replaced link is open")
+	is.Equal(second.atFirst(), 2)
+}
+
+// TestReplacedLinkIsNotHeard guards against frames of a link that was replaced and are
+// handled later: they took slots for requests that the gateway has decided on without the
+// leader.
+func TestReplacedLinkIsNotHeard(t *testing.T) {
+	is := is.New(t)
+	h := newTermHub(t)
+	g := h.linkedWithList()
+	replaced := &conn{
+		Conn: g.Conn,
+		name: "a",
+	}
+	for id := range uint64(4) {
+		h.post(t.Context(), event{
+			from: replaced,
+			frame: wire.Serve{
+				PlacementRequests: []dispatch.Request{requestFor(id+1, "u2")},
+			},
+		})
+	}
+	is.Equal(g.atFirst(), 2)
+}
