controller, gateway: the result of a former term's proposal is dropped

What callers saw: nothing that is known; two changes of the history of streams could be proposed at a time, the second with streams that this leader had not been told of.

Cause: the end of a proposal of a former term was taken for that of the one under way.

Evidence: TestResultOfAnEarlierTermIsDropped failed before (a second change was pending while the first was under way).

Why it works: the result carries the term in which the change was proposed.

--- a/controller/internal/gateway/origins.go
+++ b/controller/internal/gateway/origins.go
@@ -16,6 +16,7 @@
 
 // originResult is the end of a proposed change of the history of streams.
 type originResult struct {
+	term   Term // in which the change was proposed
 	change origin.Change
 	err    error
 }
@@ -215,7 +216,7 @@
 
 // proposeOrigins proposes a change and posts the result.
 func (h *Hub) proposeOrigins(ctx context.Context, change origin.Change) {
-	r := h.replica()
+	r, term := h.replica(), h.term
 	go func() {
 		err := replica.ErrNotLeader
 		if r != nil {
@@ -227,6 +228,7 @@
 		}
 		h.post(ctx, event{
 			originResult: &originResult{
+				term:   term,
 				change: change,
 				err:    err,
 			},
@@ -237,10 +239,10 @@
 // originsRecorded handles the end of a proposal. What failed is proposed again. Upstreams of
 // versions that are recorded now are published.
 func (h *Hub) originsRecorded(result *originResult) {
-	h.originsFailed = result.err != nil
-	if h.origins == nil {
-		return // another term as leader has begun
+	if result.term != h.term || h.origins == nil {
+		return
 	}
+	h.originsFailed = result.err != nil
 	change := result.change
 	if result.err != nil {
 		h.origins.Done(change, nil)
--- a/controller/internal/gateway/origins_test.go
+++ b/controller/internal/gateway/origins_test.go
@@ -236,3 +236,27 @@
 	}
 	is.True(!h.allowance.Take(time.Now(), 4))
 }
+
+// TestResultOfAnEarlierTermIsDropped guards against the end of a proposed change of a former
+// term that is taken for the end of the one that is under way: two were then proposed at a
+// time, with streams that this leader had not been told of.
+func TestResultOfAnEarlierTermIsDropped(t *testing.T) {
+	is := is.New(t)
+	h := newTestHub()
+	report := func(s origin.Stream) {
+		h.origins.Report(time.Now(), []origin.Batch{{
+			Service: "llm",
+			Version: "v2",
+			Streams: []origin.Stream{s},
+		}}, func(origin.Stream, origin.Origin) bool { return false })
+	}
+	report(1)
+	h.proposeOrigins(t.Context(), h.origins.Next()) // fails, since there is no replica
+	former := <-h.events
+	former.originResult.term.number++ // any other term
+	h.loadTestOrigins()
+	report(2)
+	h.origins.Next()
+	h.handle(former)
+	is.True(!h.origins.Pending())
+}
--- a/controller/internal/gateway/term.go
+++ b/controller/internal/gateway/term.go
@@ -87,6 +87,7 @@
 	h.replies = make(map[*conn][]dispatch.Decision)
 	h.upstreams = nil
 	h.origins, h.listed = nil, nil
+	h.originsFailed = false
 	h.nextListRequest = time.Time{}
 	h.rateLimits = nil
 	h.recorded = nil
