gateway, controller: a leader's new term gets the accounts of teams

What callers saw: a leader that lost its role and won it back at the same address, as after a full disk or a restart, began with no account of any team, so teams that had received much were served before others.

Cause: gateways report accounts only to a leader at another address than the last one's. The address outlives the leader's state.

Why it works: the welcome states the leader's term, with which the hub's state ends, and gateways compare address and term. Leaders that state none are told as before.

--- a/controller/internal/gateway/hub.go
+++ b/controller/internal/gateway/hub.go
@@ -276,6 +276,7 @@
 	frame := wire.Serve{
 		Welcome: &wire.Welcome{
 			IsLeader:    true,
+			Term:        h.term.number,
 			Controllers: h.directory.Addresses(),
 		},
 	}
--- a/controller/internal/gateway/term_test.go
+++ b/controller/internal/gateway/term_test.go
@@ -215,7 +215,9 @@
 	}
 	h.replaceReplica()
 	g = h.dialGateway()
-	is.True(g.await("welcome", isWelcome).Upstreams == nil) // the list was not read in this term
+	welcome := g.await("welcome", isWelcome)
+	is.Equal(welcome.Welcome.Term, h.replicas.Replica().Status().Term)
+	is.True(welcome.Upstreams == nil) // the list was not read in this term
 	h.SetUpstreams(t.Context(), h.Term(), listOf("present"))
 	list, _ := g.await("list of the second term", hasList).Upstreams.Apply(nil)
 	is.Equal(len(list), 1)
--- a/fleet/wire/serve.go
+++ b/fleet/wire/serve.go
@@ -98,6 +98,9 @@
 	Leader string `cbor:"2,keyasint,omitempty"`
 	// Controllers are the addresses of all controllers.
 	Controllers []string `cbor:"3,keyasint,omitempty"`
+	// Term is the term of the leader; zero from leaders that don't state it. What the
+	// leader knows from gateways ends with its term.
+	Term uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // InFlight describes a request that is at an upstream.
--- a/gateway/internal/controller/find.go
+++ b/gateway/internal/controller/find.go
@@ -26,8 +26,11 @@
 func (l *Link) receiveFrom(f dialed) {
 	c := f.conn
 	l.events <- event{
-		linked:        c,
-		leaderAddress: f.address,
+		linked: c,
+		leader: leader{
+			address: f.address,
+			term:    f.first.Welcome.Term,
+		},
 	}
 	frame, err := f.first, error(nil)
 	for err == nil {
--- a/gateway/internal/controller/link.go
+++ b/gateway/internal/controller/link.go
@@ -58,22 +58,29 @@
 	origin origin.Origin
 }
 
+// leader identifies a leader for as long as it knows what it was told. Terms are zero from
+// leaders that don't state them.
+type leader struct {
+	address string
+	term    uint64
+}
+
 // event is handled by the control goroutine. Exactly one of place, started, begun, ended,
 // notice, limit, linked, lost and frame is set.
 type event struct {
-	place         *dispatch.Request
-	reply         reply
-	started       uint64
-	begun         *begunStream
-	ended         *wire.Ended
-	notice        *dispatch.Notice
-	limit         *dispatch.RateLimitReport
-	linked        *link.Conn[wire.Serve]
-	leaderAddress string // with linked
-	lost          *link.Conn[wire.Serve]
-	lostCause     error // with lost
-	frame         *wire.Serve
-	from          *link.Conn[wire.Serve] // with frame
+	place     *dispatch.Request
+	reply     reply
+	started   uint64
+	begun     *begunStream
+	ended     *wire.Ended
+	notice    *dispatch.Notice
+	limit     *dispatch.RateLimitReport
+	linked    *link.Conn[wire.Serve]
+	leader    leader // with linked
+	lost      *link.Conn[wire.Serve]
+	lostCause error // with lost
+	frame     *wire.Serve
+	from      *link.Conn[wire.Serve] // with frame
 }
 
 // waiting is a request that waits for the leader's decision.
@@ -111,7 +118,7 @@
 	version   uint64 // of the configuration in force
 	// snapshot is the configuration in force, nil without one.
 	snapshot   *configuration.Snapshot
-	lastLeader string // address of the leader of the last link
+	lastLeader leader // of the last link
 	// alone reports whether the last decision was the gateway's own.
 	alone bool
 
@@ -265,7 +272,7 @@
 			l.outgoing.RateLimits = append(l.outgoing.RateLimits, *e.limit)
 		}
 	case e.linked != nil:
-		l.handleLinked(e.linked, e.leaderAddress)
+		l.handleLinked(e.linked, e.leader)
 	case e.lost != nil:
 		l.handleLost(e.lost, e.lostCause)
 	case e.frame != nil && e.from == l.conn:
@@ -293,9 +300,9 @@
 }
 
 // handleLinked makes a new link the one in use. It reports the requests in flight and the
-// upstreams' notices, and if the leader has changed also the teams' accounts, which the last
-// leader already has.
-func (l *Link) handleLinked(c *link.Conn[wire.Serve], leader string) {
+// upstreams' notices, and if the leader or its term has changed also the teams' accounts,
+// which the last leader already has.
+func (l *Link) handleLinked(c *link.Conn[wire.Serve], next leader) {
 	if l.conn != nil {
 		l.conn.Close()
 	}
@@ -317,15 +324,15 @@
 	l.outgoing.Quarantine = l.scheduler.Quarantine().Records(time.Now())
 	l.outgoing.Begun = l.begun.Latest("", maxReportedStreams)
 	l.scheduler.SetFollowing(true)
-	if leader != l.lastLeader {
+	if next != l.lastLeader {
 		l.refusals.reset()
 		l.outgoing.Accounts = l.scheduler.Accounts(time.Now())
-		l.lastLeader = leader
+		l.lastLeader = next
 	}
 	l.flush()
 	l.sendPing()
-	l.setLeader(leader)
-	l.log.Info("linked to the leader", "leader", leader, "configuration", l.version, "at_upstreams", len(l.scheduler.Placements()))
+	l.setLeader(next.address)
+	l.log.Info("linked to the leader", "leader", next.address, "term", next.term, "configuration", l.version, "at_upstreams", len(l.scheduler.Placements()))
 }
 
 // handleLost stops using a link that failed, and decides locally on all waiting requests.
--- a/gateway/internal/controller/link_test.go
+++ b/gateway/internal/controller/link_test.go
@@ -26,6 +26,7 @@
 	decidesNothing bool // sends no decisions
 	decidesLate    bool // sends decisions after decisionTimeout
 	ignoresPings   bool // confirms no pings
+	term           uint64
 	hellos         []wire.ServeHello
 	frames         []wire.Serve
 	conns          []*link.Conn[wire.Serve]
@@ -80,9 +81,12 @@
 		return
 	}
 	l.set(func(l *fakeLeader) { l.hellos = append(l.hellos, *first.Hello) })
+	term := uint64(0)
+	l.set(func(l *fakeLeader) { term = l.term })
 	_ = c.Send(wire.Serve{
 		Welcome: &wire.Welcome{
 			IsLeader: true,
+			Term:     term,
 		},
 		Upstreams: wire.FullUpdate(wire.IndexByID([]dispatch.Upstream{
 			{
