disk: a failed replacement of a file frees its space

Nothing removed it, so every later write failed until an operator did, also when the log alone would have fitted.

Evidence: TestFailedSnapshotFreesItsSpace, TestOpenRemovesTemporaryFiles, TestInitOnFullDisk and the covered log in TestOpenOnFullDisk failed before (1 temporary file left, 3 at an Open); files are limited by RLIMIT_FSIZE in a process of the test's own. A stopped folder and one with a torn tail opened without space before, too. Nothing acknowledged was lost in any.

Why it works: a temporary file lives no longer than the call that writes it, or until the next Open after a crash; a store takes no write after one that failed.

--- a/fleet/disk/store.go
+++ b/fleet/disk/store.go
@@ -28,8 +28,8 @@
 	ErrNoIdentity = merry.Sentinel("the data folder holds no replica; run `controller init` first")
 	// ErrHasIdentity is returned by Init for a folder that holds a replica.
 	ErrHasIdentity = merry.Sentinel("the data folder already holds a replica")
-	// ErrFailed is returned by every write after a failed write to the log.
-	ErrFailed = merry.Sentinel("an earlier write to the log failed")
+	// ErrFailed is returned by every write after one that failed.
+	ErrFailed = merry.Sentinel("an earlier write to the data folder failed")
 	// ErrLocked is returned when another process has the folder open.
 	ErrLocked = merry.Sentinel("the data folder is in use by another process")
 )
@@ -87,18 +87,19 @@
 // for a replica's state.
 func Erase(folder string) error {
 	for _, name := range []string{identityFile, snapshotFile, logFile} {
-		if err := os.Remove(filepath.Join(folder, name)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		if err := removeFile(filepath.Join(folder, name)); err != nil {
 			return merry.Prepend(err, "erase the data folder")
 		}
 		if err := syncFolder(folder); err != nil {
 			return err
 		}
 	}
-	return nil
+	return removeTemporary(folder)
 }
 
 // Open locks the folder and returns a Store for it and the durable state read from
-// it. An incomplete last record of the log is truncated. Errors wrap ErrNoIdentity,
+// it. An incomplete last record of the log is truncated, which takes no space on the
+// disk; only a log that a snapshot covers is written anew. Errors wrap ErrNoIdentity,
 // ErrLocked or ErrDamaged where one of them is the cause.
 func Open(folder string) (*Store, raft.Restored, error) {
 	s := &Store{
@@ -120,6 +121,9 @@
 	if err := s.acquireLock(); err != nil {
 		return restored, err
 	}
+	if err := removeTemporary(s.folder); err != nil {
+		return restored, err
+	}
 	if err := s.readSnapshot(&restored.Snapshot); err != nil {
 		return restored, err
 	}
@@ -216,11 +220,14 @@
 
 // SaveSnapshot makes the snapshot durable, then replaces the log by the hard state
 // and the entries after the snapshot. After a crash between the two steps the new
-// snapshot is read with the old log, whose entries up to the snapshot are ignored.
+// snapshot is read with the old log, whose entries up to the snapshot are ignored. After
+// an error every later write returns ErrFailed: the open log may no longer be the one in
+// the folder.
 func (s *Store) SaveSnapshot(snapshot raft.Snapshot, hard raft.HardState, after []raft.Entry) error {
 	if s.failed {
 		return ErrFailed
 	}
+	s.failed = true
 	payload, err := cbor.Marshal(snapshot)
 	if err != nil {
 		return merry.Prepend(err, "encode the snapshot")
@@ -240,6 +247,7 @@
 		return merry.Prepend(err, "open the new log")
 	}
 	s.logBytes = logBytes
+	s.failed = false
 	return nil
 }
 
