dispatch: what requests to an earlier start report doesn't count for the present one

What callers saw: an upstream that was replaced under its identifier, with another address or software version, got no requests for a while because requests to its earlier start failed; and one that was replaced while it was probed waited for the end of that probe.

Cause: a request in flight holds the upstream's entry, which outlives its start. Caches were told apart already, failures and probes were not.

Evidence: TestFailureOfAnEarlierStartDoesNotSuspend and TestProbeOfAnEarlierStartEnds failed before (a suspension after the replacement; no probe).

Why it works: a request keeps the number of the start that it was placed at. A suspension that began before a restart still runs to its end.

--- a/fleet/dispatch/placement.go
+++ b/fleet/dispatch/placement.go
@@ -5,6 +5,7 @@
 // placedRequest is a request in flight at an upstream.
 type placedRequest struct {
 	engine     *engine
+	start      int     // engine.starts when it was placed
 	uncached   float64 // prompt tokens to be prefilled
 	prefilling bool    // counted in the engine's backlog
 	started    bool    // the response has begun
@@ -83,6 +84,7 @@
 	}
 	p := &placedRequest{
 		engine:             e,
+		start:              e.starts,
 		uncached:           uncached,
 		prefilling:         uncached > 0,
 		backlogAtPlacement: e.prefillBacklog,
@@ -146,6 +148,9 @@
 	p.prefilling = false
 	p.markPrefilled()
 	p.engine.prefillBacklog = max(0, p.engine.prefillBacklog-p.uncached)
+	if p.start != p.engine.starts {
+		return
+	}
 	s.markWorking(p.engine)
 	// The backlog at placement is only known if all requests are seen.
 	if s.settings.TrafficFraction >= 1 {
@@ -196,8 +201,8 @@
 
 // RecordEnd records the outcome of a request and removes it. An upstream that could not
 // be reached or lost its address is suspended at once; one that failed otherwise is
-// suspended after failuresToSuspend failures in a row, or after a single failed probe.
-// RecordEnd does nothing if the request is unknown.
+// suspended after failuresToSuspend failures in a row, or after a single failed probe,
+// unless it has restarted since. RecordEnd does nothing if the request is unknown.
 func (s *Scheduler) RecordEnd(now time.Time, key Key, outcome Outcome) {
 	p := s.remove(key)
 	if p == nil {
@@ -212,6 +217,9 @@
 	}
 	s.recordEvidence(now, p, outcome)
 	e := p.engine
+	if p.start != e.starts {
+		return
+	}
 	if outcome == NotRun && e.pacer.limited() {
 		e.probing = false // it enforces its limit, which is no failure
 		return
--- a/fleet/dispatch/upstream.go
+++ b/fleet/dispatch/upstream.go
@@ -37,6 +37,9 @@
 	probing bool
 	// trials is the number of requests in flight that are trials of quarantined subjects.
 	trials int
+	// starts is the number of restarts that were seen. What requests placed at an earlier
+	// start report says nothing of the present one.
+	starts int
 	// crash identifies the last crash, and crashedAt is when it was noticed.
 	crash     uint64
 	crashedAt time.Time
@@ -48,9 +51,11 @@
 	return !e.listed || e.Draining && !u.Draining || e.Address != u.Address || e.Version != u.Version
 }
 
-// restart discards the notices, the rate limit, the speed and the cache of an earlier start. Capacity is
-// that of the new cache in tokens.
+// restart discards the notices, the rate limit, the speed, the cache and the probe of an
+// earlier start. Capacity is that of the new cache in tokens.
 func (e *engine) restart(capacity float64) {
+	e.starts++
+	e.probing = false
 	e.leavingUntil = time.Time{}
 	e.backoffUntil = time.Time{}
 	e.lastChoiceUntil = time.Time{}
