controller, node: accounts of sidecars end with the leader's term

What callers saw: nothing that is known. A leader that lost its role and won it back between two reports of a sidecar had dropped its accounts, and the sidecar went on with reports of what had changed only, so totals of other teams were missing.

Cause: links and accounts asked whether this controller leads, not since when.

Evidence: TestAccountsEndWithTheTerm failed before (the link of the first term stayed open).

Why it works: link and accounts name the term that they belong to, and reports of another one are refused under the lock that guards the accounts.

--- a/controller/internal/node/account.go
+++ b/controller/internal/node/account.go
@@ -9,6 +9,7 @@
 	"baobabpaddle/controller/internal/replica"
 	"baobabpaddle/fleet/credential"
 	"baobabpaddle/fleet/link"
+	"baobabpaddle/fleet/raft"
 	"baobabpaddle/fleet/resource"
 	"baobabpaddle/fleet/share"
 	"baobabpaddle/fleet/state"
@@ -22,13 +23,21 @@
 	sidecarExpiry = time.Hour
 )
 
+// Replica is this controller's replica.
+type Replica interface {
+	View(f func(*state.State))
+	Changed() <-chan struct{}
+	Status() replica.Status
+}
+
 // Accounts adds up the service that teams receive at all sidecars while this
 // controller leads. While it doesn't lead, it closes the links of sidecars, which then
 // turn to the leader.
 type Accounts struct {
-	replica *replica.Replica
+	replica Replica
 
-	mu          sync.Mutex // guards accountants and weights
+	mu          sync.Mutex // guards the following fields
+	term        uint64     // in which the accounts were reported
 	accountants map[share.ServiceID]*share.Accountant
 	weights     map[share.TeamID]cachedWeight
 }
@@ -42,7 +51,7 @@
 
 // NewAccounts returns accounts without any reports. The replica provides the weights of
 // teams.
-func NewAccounts(r *replica.Replica) *Accounts {
+func NewAccounts(r Replica) *Accounts {
 	return &Accounts{
 		replica:     r,
 		accountants: make(map[share.ServiceID]*share.Accountant),
@@ -50,18 +59,34 @@
 	}
 }
 
-// Run drops sidecars that are gone, and all accounts when leadership is lost, until the
+// leaderTerm returns the term in which this controller leads, or zero.
+func (a *Accounts) leaderTerm() uint64 {
+	status := a.replica.Status()
+	if status.Role != raft.Leader.String() {
+		return 0
+	}
+	return status.Term
+}
+
+// followTerm drops the accounts of a term that has ended, since sidecars report only what
+// has changed; a.mu is held.
+func (a *Accounts) followTerm() {
+	if term := a.leaderTerm(); term != a.term {
+		clear(a.accountants)
+		a.term = term
+	}
+}
+
+// Run drops sidecars that are gone, and all accounts at the end of a term, until the
 // context ends.
 func (a *Accounts) Run(ctx context.Context) {
 	ticker := time.NewTicker(expiryInterval)
 	defer ticker.Stop()
 	for {
 		changed := a.replica.Changed()
-		if !a.replica.IsLeader() {
-			a.mu.Lock()
-			clear(a.accountants)
-			a.mu.Unlock()
-		}
+		a.mu.Lock()
+		a.followTerm()
+		a.mu.Unlock()
 		select {
 		case <-ctx.Done():
 			return
@@ -77,12 +102,14 @@
 }
 
 // Handler accepts the links of sidecars and answers their reports of service with the
-// totals of the fleet. It closes a link when leadership is lost.
+// totals of the fleet. A link ends with the term in which it was accepted, so that the next
+// one begins with full reports.
 func (a *Accounts) Handler(ctx context.Context, dialer link.Dialer) http.Handler {
 	return link.Handler(ctx, dialer, func(peer credential.Peer, c *link.Conn[wire.Account]) {
 		incarnation := ""
 		var unpacker wire.ReportUnpacker
-		for a.replica.IsLeader() {
+		term := a.leaderTerm()
+		for term != 0 && a.leaderTerm() == term {
 			frame, err := c.Receive()
 			if err != nil {
 				return
@@ -101,8 +128,9 @@
 				}
 				reports = append(reports, r)
 			}
-			if c.Send(wire.Account{
-				Totals: a.recordReports(peer.Name, incarnation, reports),
+			totals, ok := a.recordReports(term, peer.Name, incarnation, reports)
+			if !ok || c.Send(wire.Account{
+				Totals: totals,
 			}) != nil {
 				return
 			}
@@ -111,10 +139,15 @@
 }
 
 // recordReports adds a sidecar's reports to the accounts and returns the totals of
-// their services. A new incarnation means that the sidecar was started again.
-func (a *Accounts) recordReports(sidecar, incarnation string, reports []share.Report) []wire.PackedTotals {
+// their services, or false if the term has ended. A new incarnation means that the sidecar
+// was started again.
+func (a *Accounts) recordReports(term uint64, sidecar, incarnation string, reports []share.Report) ([]wire.PackedTotals, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.followTerm()
+	if term != a.term {
+		return nil, false
+	}
 	out := make([]wire.PackedTotals, 0, len(reports))
 	for _, r := range reports {
 		accountant := a.accountants[r.Service]
@@ -126,7 +159,7 @@
 		}
 		out = append(out, wire.PackTotals(accountant.Report(time.Now(), sidecar, incarnation, r)))
 	}
-	return out
+	return out, true
 }
 
 // weight returns a team's weight, which is 1 unless its specification has a positive
