sidecar: frames of a gateway's replaced link are dropped

What callers saw: nothing that is known; slots were granted to requests that no longer waited, and came back when the gateway declined them.

Cause: frames were told apart by the gateway's name, which its next link has, too.

Evidence: TestReplacedLinkIsNotHeard failed before (the former link's demand counted).

Why it works: a frame counts only while its link is the gateway's present one.

--- a/sidecar/internal/gateway/scheduler.go
+++ b/sidecar/internal/gateway/scheduler.go
@@ -229,10 +229,11 @@
 	})
 }
 
-// handleFrame applies a frame of a gateway: weights, demands and declined grants.
-func (s *Scheduler) handleFrame(name string, frame wire.Work) {
+// handleFrame applies a frame of a gateway: weights, demands and declined grants. It drops
+// frames of a link that a newer one has replaced.
+func (s *Scheduler) handleFrame(name string, link frameSender, frame wire.Work) {
 	s.post(func(now time.Time) {
-		if s.gateways[name] == nil {
+		if s.gateways[name] != link {
 			return
 		}
 		for _, w := range frame.Weights {
--- a/sidecar/internal/gateway/server.go
+++ b/sidecar/internal/gateway/server.go
@@ -98,7 +98,7 @@
 		if err != nil {
 			return
 		}
-		s.scheduler.handleFrame(peer.Name, frame)
+		s.scheduler.handleFrame(peer.Name, c, frame)
 	}
 }
 
