gateway, sidecar: a link belongs to the peer that it was opened for

What callers saw: nothing that is known. A sidecar that was unwanted for a moment could be linked and get no requests: the link that was being opened for it before took the place of its next one, and its end left none.

Cause: a link was assigned to the peer that has the address now.

Evidence: TestLinkOfAnEarlierPeerIsNotUsed failed before (the later peer got the link).

Why it works: the goroutine that keeps a link knows its peer and assigns the link only as long as that is the present one.

--- a/gateway/internal/sidecar/coordinator.go
+++ b/gateway/internal/sidecar/coordinator.go
@@ -117,15 +117,15 @@
 	}
 }
 
-// maintainLink keeps a link to a sidecar open until the context ends, and posts each frame
-// received on it.
-func (c *Coordinator) maintainLink(ctx context.Context, dialer link.Dialer, address string) {
+// maintainLink keeps a link to a sidecar open for a peer until the context ends, and posts
+// each frame received on it.
+func (c *Coordinator) maintainLink(ctx context.Context, dialer link.Dialer, address string, owner *peer) {
 	target := func() string { return address }
 	link.Maintain(ctx, dialer, target, wire.PathWork, func(conn *link.Conn[wire.Work]) {
 		c.post(func(time.Time) {
-			if p := c.peers[address]; p != nil {
-				p.conn = conn
-				p.sentWeights = make(map[share.TeamID]uint64)
+			if c.peers[address] == owner {
+				owner.conn = conn
+				owner.sentWeights = make(map[share.TeamID]uint64)
 			}
 		})
 		for {
--- a/gateway/internal/sidecar/links.go
+++ b/gateway/internal/sidecar/links.go
@@ -22,14 +22,15 @@
 	for address := range wanted {
 		if c.peers[address] == nil {
 			peerCtx, stop := context.WithCancel(ctx)
-			c.peers[address] = &peer{
+			p := &peer{
 				stop:        stop,
 				services:    make(map[share.ServiceID]bool),
 				sentWeights: make(map[share.TeamID]uint64),
 			}
+			c.peers[address] = p
 			dialer := c.dialer
 			dialer.Heartbeat = heartbeatInterval(len(wanted))
-			go c.maintainLink(peerCtx, dialer, address)
+			go c.maintainLink(peerCtx, dialer, address, p)
 		}
 	}
 	for address, p := range c.peers {
--- a/gateway/internal/sidecar/links_test.go
+++ b/gateway/internal/sidecar/links_test.go
@@ -1,13 +1,19 @@
 package sidecar
 
 import (
+	"context"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"baobabpaddle/fleet/credential"
 	"baobabpaddle/fleet/link"
 	"baobabpaddle/fleet/share"
+	"baobabpaddle/fleet/wire"
 )
 
 // TestLinkCountFollowsWaiting checks that the number of links grows to a large pool within
@@ -53,3 +59,34 @@
 	}
 	is.True(len(first) > 1)
 }
+
+// TestLinkOfAnEarlierPeerIsNotUsed guards against a sidecar that is linked and gets no
+// requests: it was unwanted for a moment, and the link that was being opened for it before
+// took the place of its next one.
+func TestLinkOfAnEarlierPeerIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	cred, err := credential.Load(credential.Settings{
+		PrivateNetwork: true,
+	}, credential.Peer{
+		Role: credential.Gateway,
+		Name: "g",
+	})
+	is.NoErr(err)
+	dialer := link.Dialer{
+		Credential: cred,
+		Stats:      &link.Stats{},
+	}
+	server := httptest.NewServer(link.Handler(t.Context(), dialer, func(_ credential.Peer, c *link.Conn[wire.Work]) {
+		_, _ = c.Receive() // returns at the end of the link
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	c := NewCoordinator("g", share.PlacerSettings{}, nil, dialer, nil, slog.New(slog.DiscardHandler))
+	former, present := &peer{}, &peer{}
+	c.peers[address] = present
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go c.maintainLink(ctx, dialer, address, former)
+	(<-c.events)(time.Now()) // the link is open
+	is.True(present.conn == nil)
+}
