--- a/controller/internal/peer/fleet_test.go
+++ b/controller/internal/peer/fleet_test.go
@@ -64,6 +64,7 @@
 	err        error         // of every write; nil if writes succeed
 	delay      time.Duration // of every write
 	refuseOpen bool          // opening the data folder fails with err, too
+	written    bool          // writes that fail take place all the same
 }
 
 // setFault replaces the fault.
@@ -80,8 +81,8 @@
 	return d.writes
 }
 
-// write returns the error of a write.
-func (d *faultyDisk) write() error {
+// write carries out a write, unless the fault keeps it from taking place.
+func (d *faultyDisk) write(carryOut func() error) error {
 	d.mu.Lock()
 	fault := d.fault
 	if fault.err != nil {
@@ -89,6 +90,12 @@
 	}
 	d.mu.Unlock()
 	time.Sleep(fault.delay)
+	if fault.err != nil && !fault.written {
+		return fault.err
+	}
+	if err := carryOut(); err != nil {
+		return err
+	}
 	return fault.err
 }
 
@@ -109,17 +116,11 @@
 }
 
 func (s *faultyStore) Append(hard *raft.HardState, entries []raft.Entry) error {
-	if err := s.disk.write(); err != nil {
-		return err
-	}
-	return s.Store.Append(hard, entries)
+	return s.disk.write(func() error { return s.Store.Append(hard, entries) })
 }
 
 func (s *faultyStore) SaveSnapshot(snapshot raft.Snapshot, hard raft.HardState, after []raft.Entry) error {
-	if err := s.disk.write(); err != nil {
-		return err
-	}
-	return s.Store.SaveSnapshot(snapshot, hard, after)
+	return s.disk.write(func() error { return s.Store.SaveSnapshot(snapshot, hard, after) })
 }
 
 // testHost is a host with a controller that runs in the test's process.
@@ -127,10 +128,13 @@
 	address string
 	folder  string
 	disk    *faultyDisk
-	peers   *Peers
-	member  *Member
-	forward *forward.Forwarder
-	stop    func() // ends the controller, as the end of its process does
+	// snapshotEvery is the number of entries after which the log is compacted; zero means the
+	// default.
+	snapshotEvery uint64
+	peers         *Peers
+	member        *Member
+	forward       *forward.Forwarder
+	stop          func() // ends the controller, as the end of its process does
 }
 
 // testFleet is three controllers with a disk on loopback.
@@ -217,6 +221,7 @@
 			ReplaceAfter:      testReplaceAfter,
 			MaxVoters:         3,
 		},
+		SnapshotEvery: h.snapshotEvery,
 	}, h.peers, dialer, log)
 	h.member.open = func(folder string) (Store, raft.Restored, error) {
 		if err := h.disk.open(); err != nil {
