controller: a confirmed read belongs to one replica

Callers saw nothing so far. A caller that takes up a stream which no record names is continued at the only software version of its service, once a majority has confirmed the leader's copy of the history. The confirmation and the look-up were two steps: the replica that was confirmed could stop in between (a full disk, a removal), and the version was then read from the next replica of the same process, whose copy may lack the newest version. The stream went on at another version than the one that began it.

The version is now read from the confirmed replica, right after the read, and handed to the control goroutine with the request. A later change can't make it wrong: the stream began before its caller returned.

--- a/controller/internal/gateway/origins.go
+++ b/controller/internal/gateway/origins.go
@@ -25,6 +25,9 @@
 type continuation struct {
 	conn    *conn
 	request dispatch.Request
+	// single is the only version of the service in the history that was read with the
+	// confirmation of a majority, or empty.
+	single string
 }
 
 // replica returns this controller's replica, or nil. Hubs of tests may have no replicas.
@@ -116,15 +119,18 @@
 	return began, answer
 }
 
-// continueConfirmed decides on a request after the read.
+// continueConfirmed decides on a request after the read. The history is not read again, since
+// this controller may have another replica by now, which lacks changes.
 func (h *Hub) continueConfirmed(t continuation) {
 	if h.origins == nil || h.conns[t.conn.name] != t.conn {
 		return
 	}
 	began, answer := h.findOrigin(t.request)
 	if answer == origin.Unconfirmed {
-		began.Service = t.request.Service
-		h.viewHistory(func(history *origin.History) { began.Version, _ = history.Single(began.Service) })
+		began = origin.Origin{
+			Service: t.request.Service,
+			Version: t.single,
+		}
 	}
 	h.placeContinuation(t.conn, t.request, began)
 }
@@ -174,6 +180,11 @@
 		if r == nil || r.Barrier(ctx) != nil {
 			continue // the gateways refuse the requests for now
 		}
+		r.View(func(s *state.State) {
+			for i := range waiting {
+				waiting[i].single, _ = s.Origins.Single(waiting[i].request.Service)
+			}
+		})
 		h.post(ctx, event{
 			confirmedContinuations: waiting,
 		})
