origin: versions stay while the list can't be read

Callers saw nothing so far. The leader removes a software version from the history 15 minutes after it was listed last. It counted up to now, also while the platform's list could not be read, although the gateways go on using the upstreams of the last list. Without the version in the history, the next one to be listed counts as the only one, and streams of which the reports are lost (a gateway and the leader killed) go on at it.

Evidence: TestVersionStaysWhileTheListIsUnreadable removes v1, which is in the last list, before the change.

It now counts up to the last reading of the list.

--- a/fleet/origin/keeper.go
+++ b/fleet/origin/keeper.go
@@ -37,8 +37,10 @@
 	unrecorded []Batch
 	// proposed reports whether a change is under way.
 	proposed bool
-	// lastListed are the times at which versions were listed last.
+	// lastListed are the times at which versions were listed last, and listRead is when the
+	// list was read last.
 	lastListed  map[Version]time.Time
+	listRead    time.Time
 	nextRemoval time.Time
 }
 
@@ -87,6 +89,7 @@
 // upstream may be published. Otherwise the version is added to the history first.
 func (k *Keeper) List(now time.Time, v Version) bool {
 	k.lastListed[v] = now
+	k.listRead = now
 	if k.knows(v) {
 		return true
 	}
@@ -203,7 +206,8 @@
 
 // Removal returns the change that removes the versions of which no stream can be resumed any
 // more, and whether there is one. Retention is the time for which versions are kept after they
-// were listed last. The leader must have read the list.
+// were listed last. It counts up to the last reading of the list, since gateways use the
+// upstreams of that one for as long as there is no newer one.
 func (k *Keeper) Removal(now time.Time, retention time.Duration) (Change, bool) {
 	if k.proposed || now.Before(k.nextRemoval) || now.Sub(k.since) <= retention {
 		return Change{}, false
@@ -219,7 +223,7 @@
 				Service: service,
 				Name:    name,
 			}
-			if now.Sub(k.lastListed[v]) > retention && !k.adding[v] {
+			if k.listRead.Sub(k.lastListed[v]) > retention && !k.adding[v] {
 				c.Remove = append(c.Remove, v)
 			}
 		}
--- a/fleet/origin/keeper_test.go
+++ b/fleet/origin/keeper_test.go
@@ -219,3 +219,24 @@
 	is.True(k.List(later, v2))
 	is.True(history.Knows(v2))
 }
+
+// TestVersionStaysWhileTheListIsUnreadable guards against a leader that can't read the platform's
+// list for long and removes the versions of upstreams which the gateways go on using: the next
+// version to be listed would count as the only one.
+func TestVersionStaysWhileTheListIsUnreadable(t *testing.T) {
+	is := is.New(t)
+	k, history := newKeeper(v1, v2)
+	later := start.Add(MinVersionRetention + 1)
+	is.True(k.List(later, v1))
+	for at := later; at.Before(later.Add(2 * MinVersionRetention)); at = at.Add(time.Minute) {
+		change, ok := k.Removal(at, MinVersionRetention)
+		if !ok {
+			continue
+		}
+		is.Equal(change.Remove, []Version{v2})
+		history.Apply(at, change)
+		k.Done(change, history)
+	}
+	is.True(k.List(later.Add(2*MinVersionRetention), v1))
+	is.True(history.Knows(v1))
+}
