--- a/gateway/internal/serve/fake_scheduler_test.go
+++ b/gateway/internal/serve/fake_scheduler_test.go
@@ -27,6 +27,8 @@
 	placed []dispatch.Request
 	// version is stated in decisions on requests that continue a stream.
 	version string
+	// placing, unless it is nil, is called before each decision.
+	placing func()
 	// refused are the prompt tokens of locally refused requests by team.
 	refused map[string]int
 }
@@ -37,6 +39,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.placed = append(f.placed, r)
+	if f.placing != nil {
+		f.placing()
+	}
 	if f.refuse != nil {
 		return *f.refuse
 	}
