--- a/bench/internal/soak/soak.go
+++ b/bench/internal/soak/soak.go
@@ -33,6 +33,9 @@
 	// number of callers at each gateway.
 	Upstreams int
 	Callers   int
+	// SoftwareVersions are the versions of the upstreams at the start, in turn; nil means
+	// softwareVersions.
+	SoftwareVersions []string
 	// DisklessControllers is the number of controllers without a disk, beside Controllers.
 	DisklessControllers int
 	// PowerLoss adds the faults of powerFaultKinds to those of faultKinds, which gives
@@ -147,9 +150,13 @@
 // gateway serves.
 func (s *Soak) start(ctx context.Context) error {
 	host := s.address(groupPlatform, 1)
+	versions := s.options.SoftwareVersions
+	if versions == nil {
+		versions = softwareVersions
+	}
 	for i := range 2 * s.options.Upstreams {
 		service := []string{"desk", "llm"}[i%2]
-		version := softwareVersions[i/2%len(softwareVersions)]
+		version := versions[i/2%len(versions)]
 		u, err := NewUpstream(service, version, fmt.Sprintf("%s:%d", host, upstreamPort+i), fmt.Sprintf("%s:%d", host, relayPort+i), s.ledger)
 		if err != nil {
 			return merry.Prepend(err, "upstream")
