--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -28,11 +28,12 @@
 	Jobs      int     `default:"1" help:"Runs at the same time."`
 	Logs      string  `default:"soak-logs" help:"Folder for the logs of seeds that fail."`
 
-	Diskless       int  `default:"0" help:"Controllers without a disk, beside those of --processes."`
-	PowerLoss      bool `help:"Draw losses of power of all hosts and replacements of hosts, too. Seeds then mean other faults."`
-	FinalPowerLoss bool `help:"End each run with a loss of power of all hosts, shortly after a change."`
-	KeepFirstStart bool `help:"Leave first_start in the settings after the first start."`
-	KeepLogs       bool `help:"Keep the logs of seeds that pass, too."`
+	Diskless         int      `default:"0" help:"Controllers without a disk, beside those of --processes."`
+	PowerLoss        bool     `help:"Draw losses of power of all hosts and replacements of hosts, too. Seeds then mean other faults."`
+	FinalPowerLoss   bool     `help:"End each run with a loss of power of all hosts, shortly after a change."`
+	KeepFirstStart   bool     `help:"Leave first_start in the settings after the first start."`
+	SoftwareVersions []string `help:"Software versions of the upstreams at the start, in turn; by default two. Some crashes change the version of an upstream."`
+	KeepLogs         bool     `help:"Keep the logs of seeds that pass, too."`
 }
 
 // Sizes of a run.
@@ -69,6 +70,7 @@
 		PowerLoss:           c.PowerLoss,
 		FinalPowerLoss:      c.FinalPowerLoss,
 		KeepFirstStart:      c.KeepFirstStart,
+		SoftwareVersions:    c.SoftwareVersions,
 	}
 	if c.Processes >= largeRunProcesses {
 		o.Controllers = largeRunControllers
