program: a repeated SIGTERM does not cut what drains

What callers saw: a gateway that drains and is sent SIGTERM once more, as by two series of planned work that meet at its host, ended at once with status 1. All answers in flight broke off, and requests that upstreams were running got no answer.

Cause: SignalContext ended the program at the second signal of either kind, although the grace period counts from the first.

Evidence: TestPlannedWorkCutsNoRequest/stop twice, real processes, 40 requests a second, SIGTERM again after 2 s.

Change: only a further interrupt, from a terminal, ends the program; a further SIGTERM changes nothing. The platform ends a process that outlives its grace period.

--- a/fleet/program/program.go
+++ b/fleet/program/program.go
@@ -62,17 +62,21 @@
 	}
 }
 
-// SignalContext returns a context that is canceled at the first SIGTERM or
-// interrupt. A second one ends the program immediately with status 1.
+// SignalContext returns a context that is canceled at the first SIGTERM or interrupt. A
+// further SIGTERM changes nothing: whoever stops a host may ask more than once, and what is in
+// flight keeps its time. A further interrupt, from a terminal, ends the program immediately
+// with status 1.
 func SignalContext() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
 	received := make(chan os.Signal, 2)
 	signal.Notify(received, syscall.SIGTERM, os.Interrupt)
 	go func() {
-		<-received
-		cancel()
-		<-received
-		os.Exit(1)
+		for s := range received {
+			if s == os.Interrupt && ctx.Err() != nil {
+				os.Exit(1)
+			}
+			cancel()
+		}
 	}()
 	return ctx, cancel
 }
