serve: a connection that is being closed brings no request

What callers saw: a request on a kept connection that the gateway was closing could be read, placed and run, and its answer had no connection. A request whose head had begun to arrive on a connection that had been idle for too long was cut.

Cause: whether a connection is idle was looked up first and acted on later. `prune` and `closeLongestIdle` did not look whether a head was arriving, since the server reports a connection as active only after a whole head; `CloseIdle` looked, and closed from another goroutine; new connections stayed open up to the end of the process.

Change: one state decides between the reader and the closer. A connection is closed only from idle, with nothing unread in the socket; from then on its reads return nothing, and a request that was read before it is not handled. `CloseIdle` covers new connections too, and Busy counts all that are left.

--- a/bench/internal/soak/planned_work_test.go
+++ b/bench/internal/soak/planned_work_test.go
@@ -156,7 +156,7 @@
 		name:      "rare requests at the idle limit",
 		perSecond: 40,
 		idleLimit: time.Second,
-		work: func(_ *testing.T, w *plannedWork) time.Time {
+		work: func(_ *testing.T, _ *plannedWork) time.Time {
 			began := time.Now()
 			time.Sleep(8 * time.Second)
 			return began
--- a/gateway/internal/serve/conns.go
+++ b/gateway/internal/serve/conns.go
@@ -32,6 +32,8 @@
 	mu        sync.Mutex
 	open      map[net.Conn]*list.Element // element of idleConns; nil while not idle
 	idleConns list.List                  // of idleConn, longest idle first
+	// closing is true after CloseIdle: connections that nothing arrives on are closed.
+	closing bool
 }
 
 // idleConn is an idle connection and the time since which it is idle.
@@ -77,15 +79,33 @@
 	if state == http.StateNew && len(c.open) > c.maxOpen {
 		c.closeLongestIdle()
 	}
+	if state == http.StateNew && c.closing {
+		c.closeIfIdle(conn)
+	}
+}
+
+// closeIfIdle closes a connection and reports true, unless a request has begun to arrive on it;
+// mu must be held. Of connections that are not of Listener, that is known only once the whole
+// head was read.
+func (c *Conns) closeIfIdle(conn net.Conn) bool {
+	e := c.open[conn]
+	if t, ok := conn.(*trackedConn); ok && !t.endIdle() || !ok && e == nil {
+		return false
+	}
+	if e != nil {
+		c.idleConns.Remove(e)
+		c.open[conn] = nil
+	}
+	go conn.Close() // the server then reports StateClosed, which removes it from c.open
+	return true
 }
 
 // closeLongestIdle closes the connection that has been idle longest; mu must be held.
 func (c *Conns) closeLongestIdle() {
-	if first := c.idleConns.Front(); first != nil {
-		// The server then reports StateClosed, which removes the connection from c.open.
-		go first.Value.(idleConn).conn.Close()
-		c.idleConns.Remove(first)
-		c.open[first.Value.(idleConn).conn] = nil
+	for e := c.idleConns.Front(); e != nil; e = e.Next() {
+		if c.closeIfIdle(e.Value.(idleConn).conn) {
+			return
+		}
 	}
 }
 
@@ -98,28 +118,28 @@
 }
 
 // Busy returns the number of connections on which a request, or a part of one, has
-// arrived that is not answered yet.
+// arrived that is not answered yet. One that was not read counts after CloseIdle.
 func (c *Conns) Busy() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
 	for conn := range c.open {
-		if t, ok := conn.(*trackedConn); ok && t.busy() {
+		if t, ok := conn.(*trackedConn); ok && (t.busy() || c.closing && t.state.Load() != connClosing) {
 			n++
 		}
 	}
 	return n
 }
 
-// CloseIdle closes all connections on which nothing has arrived since the last answer.
+// CloseIdle closes all connections on which nothing has arrived since the last answer, and from
+// now on new ones on which nothing has arrived yet. After it, only requests on connections that
+// Busy counts are handled.
 func (c *Conns) CloseIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for e := c.idleConns.Front(); e != nil; e = e.Next() {
-		conn := e.Value.(idleConn).conn
-		if t, ok := conn.(*trackedConn); !ok || !t.busy() {
-			go conn.Close() // the server reports StateClosed
-		}
+	c.closing = true
+	for conn := range c.open {
+		c.closeIfIdle(conn)
 	}
 }
 
@@ -152,11 +172,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for first := c.idleConns.Front(); first != nil; first = c.idleConns.Front() {
-		if now.Sub(first.Value.(idleConn).since) <= limit {
-			break
-		}
-		c.closeLongestIdle()
+	for e := c.idleConns.Front(); e != nil && now.Sub(e.Value.(idleConn).since) > limit; {
+		conn := e.Value.(idleConn).conn
+		e = e.Next()
+		c.closeIfIdle(conn)
 	}
 	c.pruneLateHeads(now)
 }
@@ -174,11 +193,12 @@
 		if !ok {
 			continue
 		}
-		if since := t.headSince.Load(); since == 0 || now.Sub(time.Unix(0, since)) <= limit {
+		since := t.headSince()
+		if since == 0 || now.Sub(time.Unix(0, since)) <= limit {
 			t.overdue = false
 			continue
 		}
-		if t.overdue {
+		if t.overdue && t.endLate(since) {
 			go conn.Close() // the server reports StateClosed
 		}
 		t.overdue = true
--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -208,7 +208,9 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	h.conns.HeadRead(r.Context())
+	if !h.conns.HeadRead(r.Context()) {
+		panic(http.ErrAbortHandler)
+	}
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
 	if h.drainEnd.Load() != 0 || h.load.Overloaded() {
--- a/gateway/internal/serve/tracked_conn.go
+++ b/gateway/internal/serve/tracked_conn.go
@@ -8,25 +8,45 @@
 	"time"
 )
 
+// States of a trackedConn. While a head is arriving, the state is the time of its first byte.
+const (
+	// connIdle means that nothing has arrived since the last answer.
+	connIdle int64 = 0
+	// connAnswering lasts from the end of a request's head to the end of its answer.
+	connAnswering int64 = -1
+	// connClosing means that the gateway closes the connection.
+	connClosing int64 = -2
+)
+
 // trackedConn is a caller's connection that records whether a request has begun to
 // arrive on it. The server reports a connection as active only once a whole head was
 // read.
 type trackedConn struct {
 	net.Conn
-	// headSince is when the first byte of a head arrived, in Unix nanoseconds; zero while
-	// none is being read.
-	headSince atomic.Int64
-	// answering is true from the end of a request's head to the end of its answer.
-	answering atomic.Bool
+	// state is one of the states above or a time in Unix nanoseconds. A request is read
+	// only in a state other than connClosing, so that none is handled whose answer would
+	// have no connection.
+	state atomic.Int64
 	// overdue is true if the head was late in the last scan; Conns.mu guards it.
 	overdue bool
 }
 
-// Read implements net.Conn.
+// errClosing is the error of reads from a connection that the gateway closes. The server answers
+// other errors than those of the network with status 400.
+var errClosing = &net.OpError{
+	Op:  "read",
+	Net: "tcp",
+	Err: net.ErrClosed,
+}
+
+// Read implements net.Conn. It returns nothing once the gateway closes the connection.
 func (t *trackedConn) Read(p []byte) (int, error) {
 	n, err := t.Conn.Read(p)
-	if n > 0 && !t.answering.Load() {
-		t.headSince.CompareAndSwap(0, time.Now().UnixNano())
+	if n > 0 && t.state.Load() == connIdle {
+		t.state.CompareAndSwap(connIdle, time.Now().UnixNano())
+	}
+	if t.state.Load() == connClosing {
+		return 0, errClosing
 	}
 	return n, err
 }
@@ -39,18 +59,17 @@
 	return nil
 }
 
-// closedByCaller reports whether the caller closed or reset the connection and all bytes
-// that it sent before were read. It does not wait and reads nothing.
-func (t *trackedConn) closedByCaller() bool {
+// peek reports without waiting whether bytes have arrived that were not read, and whether the
+// caller closed or reset the connection and all bytes that it sent before were read.
+func (t *trackedConn) peek() (unread, closed bool) {
 	socket, ok := t.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return false, false
 	}
 	access, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	closed := false
 	// Read would wait for the pending read of the server, Control does not.
 	if err := access.Control(func(fd uintptr) {
 		var one [1]byte
@@ -59,24 +78,64 @@
 			closed = err != syscall.EAGAIN && err != syscall.EINTR
 			return
 		}
-		closed = n == 0
+		unread, closed = n > 0, n == 0
 	}); err != nil {
-		return false
+		return false, false
 	}
+	return unread, closed
+}
+
+// closedByCaller reports whether the caller closed or reset the connection and all bytes
+// that it sent before were read.
+func (t *trackedConn) closedByCaller() bool {
+	_, closed := t.peek()
 	return closed
 }
 
+// headSince returns when the first byte of a head arrived, in Unix nanoseconds; zero while
+// none is being read.
+func (t *trackedConn) headSince() int64 { return max(t.state.Load(), 0) }
+
 // busy reports whether a request is arriving or being answered.
-func (t *trackedConn) busy() bool { return t.answering.Load() || t.headSince.Load() != 0 }
+func (t *trackedConn) busy() bool {
+	state := t.state.Load()
+	return state > 0 || state == connAnswering
+}
 
-// headRead records that the head of a request was read.
-func (t *trackedConn) headRead() {
-	t.answering.Store(true)
-	t.headSince.Store(0)
+// headRead records that the head of a request was read. It reports false if the gateway closes
+// the connection.
+func (t *trackedConn) headRead() bool {
+	for {
+		state := t.state.Load()
+		if state == connClosing {
+			return false
+		}
+		if t.state.CompareAndSwap(state, connAnswering) {
+			return true
+		}
+	}
 }
 
 // responseDone records that the request was answered.
-func (t *trackedConn) responseDone() { t.answering.Store(false) }
+func (t *trackedConn) responseDone() { t.state.CompareAndSwap(connAnswering, connIdle) }
+
+// endIdle makes an idle connection on which nothing has arrived one that the gateway closes. It
+// reports whether it was idle.
+func (t *trackedConn) endIdle() bool {
+	if t.state.Load() != connIdle {
+		return false
+	}
+	if unread, _ := t.peek(); unread {
+		return false
+	}
+	return t.state.CompareAndSwap(connIdle, connClosing)
+}
+
+// endLate makes a connection whose head is late one that the gateway closes. It reports whether
+// the head that has been arriving since the given time was still being read.
+func (t *trackedConn) endLate(since int64) bool {
+	return t.state.CompareAndSwap(since, connClosing)
+}
 
 // trackingListener accepts connections as *trackedConn.
 type trackingListener struct {
@@ -111,11 +170,12 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
-// HeadRead records that the head of the request with context ctx was read.
-func (c *Conns) HeadRead(ctx context.Context) {
-	if t, ok := ctx.Value(connKey{}).(*trackedConn); ok {
-		t.headRead()
-	}
+// HeadRead records that the head of the request with context ctx was read. If it reports
+// false, the request must not be handled: its connection is being closed, and nobody would get
+// the answer.
+func (c *Conns) HeadRead(ctx context.Context) bool {
+	t, ok := ctx.Value(connKey{}).(*trackedConn)
+	return !ok || t.headRead()
 }
 
 // CallerLeft reports whether the request with context ctx has ended or its caller has
