serve: a request whose body ends in a drain is checked again

What callers saw: a request whose head arrived before the SIGTERM of its gateway, or soon after it, and whose body ended seconds later was sent on to an upstream, ran, and was cut at the end of the grace period.

Cause: whether a request may outlast the drain was decided when its head had arrived, and not again when its body had.

Change: the check is made again once the whole request has been read. A refusal asks the caller to leave the connection.

--- a/bench/internal/soak/open_callers_test.go
+++ b/bench/internal/soak/open_callers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -50,6 +51,7 @@
 	kept    bool          // on a connection that had brought an answer before
 	idle    time.Duration // of the connection before the request
 	written time.Time     // when the last byte was sent
+	timeout time.Duration // of the caller or the route, the shorter one
 }
 
 // openCallers send requests to one gateway at a rate that doesn't depend on the answers, on
@@ -64,6 +66,8 @@
 	// late is true if connections are reused however long they have been idle, so that
 	// requests cross their ends.
 	late bool
+	// bodyPause, unless it is zero, is the longest pause within the body of a request.
+	bodyPause time.Duration
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -140,6 +144,10 @@
 	r := &sentRequest{
 		Attempt: a,
 		kept:    c != nil,
+		timeout: timeout,
+	}
+	if !a.Kind.stream() {
+		r.timeout = min(timeout, deskTimeout)
 	}
 	if c == nil {
 		conn, err := net.DialTimeout("tcp", o.soak.fleet.gateways[o.gateway].listenAddress(), connectTimeout)
@@ -208,7 +216,20 @@
 	if err := c.SetDeadline(time.Now().Add(timeout + callerPatience)); err != nil {
 		return nil, "", err
 	}
-	err = request.Write(c)
+	var text bytes.Buffer
+	if err := request.Write(&text); err != nil {
+		return nil, "", err
+	}
+	if o.bodyPause > 0 {
+		o.mu.Lock()
+		pause := time.Duration(o.random.Int64N(int64(o.bodyPause)))
+		o.mu.Unlock()
+		if _, err := c.Write(text.Next(text.Len() - 1)); err != nil {
+			return nil, "", err
+		}
+		time.Sleep(pause)
+	}
+	_, err = c.Write(text.Bytes())
 	r.written = time.Now()
 	if err != nil {
 		return nil, "", err
@@ -294,8 +315,8 @@
 	if r.Status != 0 && r.Complete {
 		return strconv.Itoa(r.Status)
 	}
-	if r.TimedOut {
-		return "caller's time is over"
+	if r.TimedOut || r.Ended.Sub(r.Sent) >= r.timeout {
+		return "its time is over"
 	}
 	what := "no answer"
 	if r.Status != 0 {
@@ -313,7 +334,7 @@
 	if last.Complete {
 		atWork = last.End
 	}
-	if !r.Sent.After(stopped.Add(lateRequest)) && !atWork.Before(lastSixth) {
+	if !r.written.After(stopped.Add(lateRequest)) && !atWork.Before(lastSixth) {
 		return what + ", run to the end of the grace"
 	}
 	return "LOST " + what + ", run"
@@ -326,8 +347,8 @@
 	var out []string
 	for _, r := range o.requests {
 		if outcome := r.outcome(stopped); strings.HasPrefix(outcome, "LOST") {
-			out = append(out, fmt.Sprintf("%s: %s %s, sent %s and ended %s after SIGTERM, kept connection %t (idle for %s): %s",
-				outcome, r.Kind, r.ID, r.Sent.Sub(stopped), r.Ended.Sub(stopped), r.kept, r.idle, r.Err))
+			out = append(out, fmt.Sprintf("%s: %s %s, sent %s to %s and ended %s after SIGTERM, kept connection %t (idle for %s): %s",
+				outcome, r.Kind, r.ID, r.Sent.Sub(stopped), r.written.Sub(stopped), r.Ended.Sub(stopped), r.kept, r.idle, r.Err))
 		}
 	}
 	return out
--- a/bench/internal/soak/planned_work_test.go
+++ b/bench/internal/soak/planned_work_test.go
@@ -24,6 +24,7 @@
 	name      string
 	perSecond int
 	idleLimit time.Duration
+	bodyPause time.Duration
 	usual     bool
 	// work does the planned work and returns when SIGTERM was sent, or when it began.
 	work func(t *testing.T, w *plannedWork) time.Time
@@ -87,6 +88,16 @@
 			return stopped
 		},
 	},
+	{
+		name:      "stop, bodies arrive slowly",
+		perSecond: 40,
+		bodyPause: 5 * time.Second,
+		work: func(_ *testing.T, w *plannedWork) time.Time {
+			w.slow(slowPause)
+			time.Sleep(2 * time.Second)
+			return stopOnce(nil, w)
+		},
+	},
 	{
 		name:      "stop, little processor time",
 		perSecond: 30,
@@ -314,6 +325,7 @@
 		soak:        s,
 		perSecond:   c.perSecond,
 		newFraction: 0.1,
+		bodyPause:   c.bodyPause,
 		random:      rand.New(rand.NewPCG(seed, 5)),
 	}
 	is.NoErr(w.callers.putRoutes(ctx, max(c.idleLimit, 15*time.Second)))
--- a/gateway/internal/serve/drain.go
+++ b/gateway/internal/serve/drain.go
@@ -1,9 +1,11 @@
 package serve
 
 import (
+	"net/http"
 	"time"
 
 	"baobabpaddle/fleet/configuration"
+	"baobabpaddle/fleet/problem"
 )
 
 // Drain starts draining: from now on connections are closed after the next answer, and
@@ -13,6 +15,16 @@
 	h.drainEnd.Store(end.UnixNano())
 }
 
+// endsBeforeDrain refuses the request and returns false if it may run beyond the end of the drain.
+func (x *exchange) endsBeforeDrain() bool {
+	if !x.outlastsDrain() {
+		return true
+	}
+	x.w.Header().Set("Connection", "close") // the drain may have begun after the head arrived
+	x.refuse(http.StatusServiceUnavailable, problem.Draining, "this gateway stops soon", drainRetryAfter)
+	return false
+}
+
 // outlastsDrain reports whether the request may run beyond the end of the drain. The longest
 // run assumed is the time to the deadline. For a stream that its caller can resume elsewhere,
 // and that arrives before the load balancer has noticed the drain, it is the estimated time of
--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -236,7 +236,8 @@
 		return
 	}
 	defer x.releaseBody()
-	if !x.readBody() {
+	// The drain may have begun since the head arrived.
+	if !x.readBody() || !x.endsBeforeDrain() {
 		x.recordDecision(0)
 		return
 	}
@@ -331,8 +332,7 @@
 	x.deadline = x.arrived.Add(wait)
 	x.identifyStream()
 	x.service = x.route.Choose(x.draw())
-	if x.outlastsDrain() {
-		x.refuse(http.StatusServiceUnavailable, problem.Draining, "this gateway stops soon", drainRetryAfter)
+	if !x.endsBeforeDrain() {
 		return false
 	}
 	if x.stream != 0 && !x.view.ListRecent() {
