gateway: a stop answers requests being read, also through sidecars

What callers saw: a gateway that brings requests to sidecars (`gateway run`) closed connections on which the head of a request was arriving when it was stopped, and dropped requests that it read after that, without an answer.

Cause: it stopped its server with http.Server.Shutdown, which takes a kept connection for idle until a whole head was read, and drops requests that are read later. `gateway serve` has its own way to stop for this reason; `gateway run` never got it.

Change: both commands stop with `finish` and the connections of serve.Conns. A head that does not arrive within 10 s is given up, so that it holds up no drain without a limit. Idle connections have no limit there, as before.

--- a/gateway/internal/serve/closing_test.go
+++ b/gateway/internal/serve/closing_test.go
@@ -56,15 +56,12 @@
 	s := &closingServer{
 		conns: NewConns(maxOpen, func() time.Duration { return idleLimit }, noLimit),
 	}
-	s.http = httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		if !s.conns.HeadRead(r.Context()) {
-			panic(http.ErrAbortHandler)
-		}
+	s.http = httptest.NewUnstartedServer(s.conns.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		s.ran.Add(1)
 		if r.URL.Path == "/slow" {
 			time.Sleep(runTime)
 		}
-	}))
+	})))
 	s.http.Config.ConnState = s.conns.ConnState
 	s.http.Config.ConnContext = s.conns.ConnContext
 	s.http.Listener = s.conns.Listener(slowlyClosedListener{
--- a/gateway/internal/serve/tracked_conn.go
+++ b/gateway/internal/serve/tracked_conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -188,3 +189,13 @@
 	t, ok := ctx.Value(connKey{}).(*trackedConn)
 	return ok && t.closedByCaller()
 }
+
+// Handler returns a handler that passes to next the requests that HeadRead lets through.
+func (c *Conns) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !c.HeadRead(r.Context()) {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -21,9 +22,14 @@
 	"baobabpaddle/fleet/telemetry"
 	"baobabpaddle/fleet/wire"
 	"baobabpaddle/gateway/internal/caller"
+	"baobabpaddle/gateway/internal/serve"
 	"baobabpaddle/gateway/internal/sidecar"
 )
 
+// headTimeout is how long the head of a request may take to arrive, so that one that never
+// does can't hold up a drain without a limit.
+const headTimeout = 10 * time.Second
+
 type runCommand struct {
 	program.SettingsFlag
 }
@@ -43,6 +49,7 @@
 	coordinator *sidecar.Coordinator
 	dispatcher  *sidecar.Dispatcher
 	handler     *caller.Handler
+	conns       *serve.Conns
 }
 
 // run runs the gateway until the context ends, and then drains it.
@@ -67,15 +74,24 @@
 	}
 	go p.client.Run(runCtx)
 	go p.coordinator.Run(runCtx)
-	server := program.NewServer(p.handler)
-	go p.serve(server, listener)
+	go p.conns.Run(runCtx)
+	server := p.newServer()
+	go p.serve(server, p.conns.Listener(listener))
 	log.Info("gateway started", "listen", s.Listen)
 	<-ctx.Done()
-	p.drain(server)
+	p.drain(listener, server)
 	log.Info("gateway stopped")
 	return nil
 }
 
+// newServer returns the server for the connections of conns.
+func (p *components) newServer() *http.Server {
+	server := program.NewServer(p.conns.Handler(p.handler))
+	server.ConnState = p.conns.ConnState
+	server.ConnContext = p.conns.ConnContext
+	return server
+}
+
 // serve accepts callers' connections once there is a configuration. Until then connections
 // stay in the listener's backlog, and readyz reports that the gateway is not ready.
 func (p *components) serve(server *http.Server, listener net.Listener) {
@@ -111,6 +127,7 @@
 	p.coordinator = sidecar.NewCoordinator(s.Name, placerSettings, p.client, p.dialer, random, log)
 	p.dispatcher = sidecar.NewDispatcher(p.coordinator, sidecar.NewRunner(cred), p.client, p.client, log)
 	p.handler = caller.New(p.client, p.dispatcher, p.metrics)
+	p.conns = serve.NewConns(math.MaxInt, func() time.Duration { return math.MaxInt64 }, func() time.Duration { return headTimeout })
 	p.registerMetrics()
 	return p
 }
@@ -155,17 +172,15 @@
 
 // drain refuses new requests and waits until those in flight are answered, or for
 // DrainSeconds if set.
-func (p *components) drain(server *http.Server) {
+func (p *components) drain(listener net.Listener, server *http.Server) {
 	p.log.Info("gateway drains", "waiting", p.coordinator.Waiting())
 	p.handler.Drain()
-	ctx := context.Background()
+	var deadline time.Time
 	if p.settings.DrainSeconds > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Duration(p.settings.DrainSeconds)*time.Second)
-		defer cancel()
+		deadline = time.Now().Add(time.Duration(p.settings.DrainSeconds) * time.Second)
 	}
-	if err := server.Shutdown(ctx); err != nil {
-		p.log.Warn("drain deadline passed, requests in flight are cut off", "cause", err)
+	if cut := finish(listener, server, p.conns, deadline); cut > 0 {
+		p.log.Warn("drain deadline passed, requests in flight are cut off", "in_flight", cut)
 	}
 	p.dispatcher.Wait()
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -212,20 +212,9 @@
 	p.finish(callerListener, server, deadline)
 }
 
-// finish stops the server. It accepts no more connections, closes idle ones, and closes the
-// others once all requests are answered, including those whose heads are still being read, or
-// at the deadline. http.Server.Shutdown is not used, since it drops requests that are read
-// after it was called.
+// finish stops the server, at the latest at the deadline.
 func (p *serveComponents) finish(callerListener net.Listener, server *http.Server, deadline time.Time) {
-	callerListener.Close()
-	p.handler.Conns().CloseIdle()
-	for p.handler.Conns().Busy() > 0 || p.handler.InFlight() > 0 {
-		if !time.Now().Before(deadline) {
-			p.log.Warn("requests are cut off by the end of the grace period", "in_flight", p.handler.InFlight())
-			break
-		}
-		time.Sleep(drainPollInterval)
-		p.handler.Conns().CloseIdle()
+	if cut := finish(callerListener, server, p.handler.Conns(), deadline); cut > 0 {
+		p.log.Warn("requests are cut off by the end of the grace period", "in_flight", cut)
 	}
-	server.Close()
 }
--- a/gateway/serve_settings.go
+++ b/gateway/serve_settings.go
@@ -185,10 +185,8 @@
 	unreadyDelay = 2*readyCheckInterval + 500*time.Millisecond
 	// killMargin is how long a drain goes on after the grace period, in case the platform
 	// kills the process later than announced. Cutting off answers earlier gains nothing.
-	killMargin = 2 * time.Second
-	// drainPollInterval is how often a draining gateway checks whether requests are in flight.
-	drainPollInterval = 50 * time.Millisecond
-	pruneInterval     = time.Second
+	killMargin    = 2 * time.Second
+	pruneInterval = time.Second
 	// callerConnsFraction is the fraction of MaxOpenFiles for callers' connections. The rest
 	// is for upstreams, controllers and connections that arrive before others are closed.
 	callerConnsFraction = 0.5
