serve: a slow answer is given up only for another upstream

What callers saw: a stream, sent on from a kept connection to a sound upstream that paused for over a second, was cut although no other upstream could go on with it; a lookup got 502.

Cause: an answer that made no progress was abandoned as soon as the retry budget allowed another attempt, before a placement had been asked for. If that was then refused, as where all other upstreams drain, the answer was lost.

Change: another upstream is placed first, and the slow one is abandoned only if there is one; otherwise its answer is awaited until the deadline. A placement that is not used is released. Open: if that upstream then rejects the request, the answer still breaks off.

--- a/bench/internal/soak/planned_work_test.go
+++ b/bench/internal/soak/planned_work_test.go
@@ -189,6 +189,22 @@
 			return began
 		},
 	},
+	{
+		name:      "changes, only slow upstreams are left",
+		perSecond: 10,
+		work: func(t *testing.T, w *plannedWork) time.Time {
+			w.drainAllButOne()
+			time.Sleep(2 * time.Second) // the list is followed
+			began := time.Now()
+			w.slow(1200 * time.Millisecond) // longer than the stall timeout of 1 s
+			for range 6 {
+				is.New(t).NoErr(w.callers.putRoutes(w.ctx, 15*time.Second))
+				time.Sleep(500 * time.Millisecond)
+			}
+			w.slow(0)
+			return began
+		},
+	},
 	{
 		name:      "stop, controllers stop before",
 		perSecond: 40,
@@ -256,6 +272,15 @@
 	}
 }
 
+// drainAllButOne lists all upstreams but one of each service as draining.
+func (w *plannedWork) drainAllButOne() {
+	for _, u := range w.soak.upstreams[2:] {
+		u.mu.Lock()
+		u.draining = true
+		u.mu.Unlock()
+	}
+}
+
 // hangUp changes the gateway's seeds and sends SIGHUP.
 func (w *plannedWork) hangUp() {
 	seeds := w.gateway.settings["seeds"].([]string)
--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -279,6 +279,8 @@
 	mayHaveRun bool
 	// retryCounted is true if the retry budget was already charged for the next attempt.
 	retryCounted bool
+	// next is the decision on the next attempt if it was made within the last one.
+	next *dispatch.Decision
 
 	// State of the answer to the caller.
 	headSent    bool
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -56,9 +56,10 @@
 		h.counters.registerRetriesLeft(x.service, h)
 	}
 	attempts := max(x.route.MaxUpstreams, 1)
+	defer x.releaseNext()
 	var result outcome
 	for {
-		d := h.scheduler.Place(x.r.Context(), x.placementRequest())
+		d := x.place()
 		x.recordDecision(d.RefuseFor)
 		if d.Upstream == "" {
 			x.refuseUnplaced(d)
--- a/gateway/internal/serve/stall_timeout.go
+++ b/gateway/internal/serve/stall_timeout.go
@@ -1,9 +1,11 @@
 package serve
 
 import (
+	"slices"
 	"time"
 
 	"baobabpaddle/fleet/configuration"
+	"baobabpaddle/fleet/dispatch"
 	"baobabpaddle/gateway/internal/upstream"
 )
 
@@ -32,17 +34,14 @@
 
 // stallTimeouts returns the time limits after which an upstream that sends nothing is
 // abandoned for another one. A request that may not be sent elsewhere has no limit but
-// its deadline, and none is abandoned if the retry budget is used up or no other upstream
-// can continue its answer.
+// its deadline, and none is abandoned unless the retry budget allows it and another upstream
+// has been chosen: a slow answer is better than none.
 func (x *exchange) stallTimeouts(now time.Time) upstream.StallPolicy {
 	if !x.route.Idempotent() || x.sentTo()+1 >= x.route.MaxUpstreams {
 		return upstream.StallPolicy{}
 	}
 	p := upstream.StallPolicy{
-		OnStall: func() bool {
-			x.retryCounted = x.canContinueElsewhere() && x.mayRetry()
-			return x.retryCounted
-		},
+		OnStall: x.placeElsewhere,
 	}
 	if x.route.Kind == configuration.Stream {
 		callerWait := float64(max(minStreamWait, streamWaitObjectives*x.route.Objective(), streamWaitPauses*x.route.PauseObjective()))
@@ -57,3 +56,43 @@
 	p.FirstByteBy = now.Add(p.ProgressTimeout)
 	return p
 }
+
+// placeElsewhere chooses the upstream that a stalled request is sent to next and charges the retry
+// budget. It reports whether there is one.
+func (x *exchange) placeElsewhere() bool {
+	h := x.handler
+	if !x.canContinueElsewhere() || h.budget.remaining(time.Now(), x.service, x.view.Gateways) < 1 {
+		return false
+	}
+	r := x.placementRequest()
+	r.Excluded = append(slices.Clone(x.tried), x.upstream.ID)
+	r.Resumed = true
+	d := h.scheduler.Place(x.r.Context(), r)
+	if d.Upstream == "" {
+		return false
+	}
+	x.next = &d
+	x.retryCounted = x.mayRetry()
+	if !x.retryCounted {
+		x.releaseNext()
+	}
+	return x.retryCounted
+}
+
+// place returns the next decision: that of placeElsewhere if there is one.
+func (x *exchange) place() dispatch.Decision {
+	if x.next == nil {
+		return x.handler.scheduler.Place(x.r.Context(), x.placementRequest())
+	}
+	d := *x.next
+	x.next = nil
+	return d
+}
+
+// releaseNext gives up the decision of placeElsewhere if the request is not sent there.
+func (x *exchange) releaseNext() {
+	if x.next != nil {
+		x.handler.scheduler.ReportOutcome(x.next.ID, dispatch.Unsent)
+		x.next = nil
+	}
+}
