soak: full disks and hangup series that processes survive

Afterwards, and after a series of SIGHUP, all controllers must answer reads, those with a disk from a replica of their own, and accept a change within 12 s, and no process may have ended. Processes write their logs to a pipe, since the limit would act on the files.

--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -31,6 +31,7 @@
 	Diskless         int      `default:"0" help:"Controllers without a disk, beside those of --processes."`
 	PowerLoss        bool     `help:"Draw losses of power of all hosts and replacements of hosts, too. Seeds then mean other faults."`
 	FinalPowerLoss   bool     `help:"End each run with a loss of power of all hosts, shortly after a change."`
+	SurvivableFaults bool     `help:"Draw full disks and series of hangup signals, too, which no process ends by. Seeds then mean other faults."`
 	KeepFirstStart   bool     `help:"Leave first_start in the settings after the first start."`
 	SoftwareVersions []string `help:"Software versions of the upstreams at the start, in turn; by default two. Some crashes change the version of an upstream."`
 	KeepLogs         bool     `help:"Keep the logs of seeds that pass, too."`
@@ -69,6 +70,7 @@
 		DisklessControllers: c.Diskless,
 		PowerLoss:           c.PowerLoss,
 		FinalPowerLoss:      c.FinalPowerLoss,
+		SurvivableFaults:    c.SurvivableFaults,
 		KeepFirstStart:      c.KeepFirstStart,
 		SoftwareVersions:    c.SoftwareVersions,
 	}
@@ -148,13 +150,13 @@
 	for _, v := range report.Violations {
 		fmt.Println("  broken:", v)
 	}
-	fmt.Printf("  again: bin/soak --seed %d --minutes %g --processes %d%s   logs: %s\n", o.Seed, c.Minutes, c.Processes, c.powerFlags(), o.WorkFolder)
+	fmt.Printf("  again: bin/soak --seed %d --minutes %g --processes %d%s   logs: %s\n", o.Seed, c.Minutes, c.Processes, c.faultFlags(), o.WorkFolder)
 	return false
 }
 
-// powerFlags returns the flags of the command line that determine what a seed means beside
+// faultFlags returns the flags of the command line that determine what a seed means beside
 // the sizes.
-func (c *commandLine) powerFlags() string {
+func (c *commandLine) faultFlags() string {
 	flags := ""
 	if c.Diskless > 0 {
 		flags += fmt.Sprintf(" --diskless %d", c.Diskless)
@@ -165,6 +167,9 @@
 	if c.FinalPowerLoss {
 		flags += " --final-power-loss"
 	}
+	if c.SurvivableFaults {
+		flags += " --survivable-faults"
+	}
 	if c.KeepFirstStart {
 		flags += " --keep-first-start"
 	}
--- a/bench/internal/soak/ending.go
+++ b/bench/internal/soak/ending.go
@@ -23,6 +23,9 @@
 	s.operator.addRoute = true
 	before := s.operator.version
 	s.operator.mu.Unlock()
+	if s.options.SurvivableFaults {
+		f.fillDisksBeforeLoss(ctx, random)
+	}
 	s.logFault("the run ends with a loss of power")
 	gone := f.losePower(ctx, random)
 	back := time.Now()
--- a/bench/internal/soak/faults.go
+++ b/bench/internal/soak/faults.go
@@ -91,9 +91,12 @@
 // run injects series of faults until the context ends. A series repeats one kind of fault
 // up to three times.
 func (f *faults) run(ctx context.Context) {
-	kinds := faultKinds
+	kinds := slices.Clone(faultKinds)
 	if f.soak.options.PowerLoss {
-		kinds = append(slices.Clone(faultKinds), powerFaultKinds...)
+		kinds = append(kinds, powerFaultKinds...)
+	}
+	if f.soak.options.SurvivableFaults {
+		kinds = append(kinds, survivableFaultKinds...)
 	}
 	var group sync.WaitGroup
 	for series := range faultSeries {
--- a/bench/internal/soak/fleet.go
+++ b/bench/internal/soak/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -71,11 +72,13 @@
 	if err != nil {
 		return merry.Prepend(err, "log file")
 	}
-	defer log.Close()
+	// The process writes to a pipe, since its file size limit would also act on a file.
+	output := struct{ io.Writer }{log}
 	p.command = exec.Command(filepath.Join(p.bin, p.program), "serve", "--settings", p.settingsPath())
-	p.command.Stdout = log
-	p.command.Stderr = log
+	p.command.Stdout = output
+	p.command.Stderr = output
 	if err := p.command.Start(); err != nil {
+		log.Close()
 		return merry.Prepend(err, p.name)
 	}
 	p.started = time.Now()
@@ -85,6 +88,7 @@
 	command := p.command
 	go func() {
 		_ = command.Wait() // the log shows how it ended
+		log.Close()
 		close(done)
 	}()
 	return nil
--- a/bench/internal/soak/powerloss.go
+++ b/bench/internal/soak/powerloss.go
@@ -328,7 +328,7 @@
 				}
 				if reading.Err() != nil {
 					if ctx.Err() == nil {
-						f.soak.ledger.RecordViolation("recovery", "%s answered no read within %s of a loss of power; the last answer was %s", p.name, readingTimeout, cause)
+						f.soak.ledger.RecordViolation("recovery", "%s answered no read within %s of the last fault; the last answer was %s", p.name, readingTimeout, cause)
 					}
 					return
 				}
--- a/bench/internal/soak/soak.go
+++ b/bench/internal/soak/soak.go
@@ -43,6 +43,9 @@
 	PowerLoss bool
 	// FinalPowerLoss ends the run with a loss of power of all hosts, shortly after a change.
 	FinalPowerLoss bool
+	// SurvivableFaults adds the faults of survivableFaultKinds, in which no process ends, to
+	// those before. With FinalPowerLoss, a full disk comes shortly before the end.
+	SurvivableFaults bool
 	// KeepFirstStart leaves first_start in the settings after the first start.
 	KeepFirstStart bool
 	// Network is the second byte of the loopback addresses. Runs at the same time need
