peer: the start of a replica after failed ones is logged

What operators saw: after a disk had been full for a moment between two of the spaced lines about a stopped replica, the log ended with `replica stopped` although the replica ran again.

Cause: `replica started` was left out together with the line about the stop before it, also for the start that lasts.

--- a/controller/internal/peer/member.go
+++ b/controller/internal/peer/member.go
@@ -142,10 +142,7 @@
 		cancel()
 	})
 	m.current.Store(r)
-	if !m.stops.unlogged {
-		m.log.Info("replica started", "stops", m.stops.history.Stops,
-			"last_index", restored.Snapshot.Index+uint64(len(restored.Entries)), "replica", id)
-	}
+	defer m.stops.logStart(restored, id)()
 	started := time.Now()
 	err = r.Run(ctx)
 	m.current.Store(nil)
--- a/controller/internal/peer/stops.go
+++ b/controller/internal/peer/stops.go
@@ -9,6 +9,7 @@
 
 	"baobabpaddle/controller/internal/replica"
 	"baobabpaddle/fleet/disk"
+	"baobabpaddle/fleet/raft"
 	"baobabpaddle/fleet/telemetry"
 )
 
@@ -105,3 +106,20 @@
 	s.log.Warn("replica stopped, started again from its data folder", "cause", stopCause(err), "stops", s.history.Stops,
 		"failed_starts", s.failedStarts, "ran_ms", s.ran.Milliseconds(), "detail", err)
 }
+
+// logStart logs that a replica was started. If the stop before was left out of the log, it
+// does so only once the replica has run for stopLogInterval. The returned function is called
+// when the replica has stopped.
+func (s *stops) logStart(restored raft.Restored, id uint64) (stopped func()) {
+	stops := s.history.Stops
+	write := func() {
+		s.log.Info("replica started", "stops", stops,
+			"last_index", restored.Snapshot.Index+uint64(len(restored.Entries)), "replica", id)
+	}
+	if !s.unlogged {
+		write()
+		return func() {}
+	}
+	timer := time.AfterFunc(stopLogInterval, write)
+	return func() { timer.Stop() }
+}
