peer, disk: the log is written to a new file after a write that failed

What callers would see: an acknowledged change that is gone after a loss of power.

Cause: after a sync that failed, the kernel may keep the pages as clean. The log that is opened again then reads as whole although the disk lacks its end, later syncs succeed, and the replica counts these entries as durable.

Change: after a stop in the same process the log is replaced by a new file with what was read, synced before the replica is started. That also shows that the disk takes a write as large as the log, in place of one record.

TestRewriteKeepsTheState: what was read is kept, and appends follow it.

--- a/controller/internal/peer/fleet_test.go
+++ b/controller/internal/peer/fleet_test.go
@@ -119,6 +119,10 @@
 	return s.disk.write(func() error { return s.Store.Append(hard, entries) })
 }
 
+func (s *faultyStore) Rewrite(restored raft.Restored) error {
+	return s.disk.write(func() error { return s.Store.Rewrite(restored) })
+}
+
 func (s *faultyStore) SaveSnapshot(snapshot raft.Snapshot, hard raft.HardState, after []raft.Entry) error {
 	return s.disk.write(func() error { return s.Store.SaveSnapshot(snapshot, hard, after) })
 }
--- a/controller/internal/peer/member.go
+++ b/controller/internal/peer/member.go
@@ -45,6 +45,7 @@
 // Store is the open data folder of a replica.
 type Store interface {
 	replica.Store
+	Rewrite(restored raft.Restored) error
 	Close()
 }
 
@@ -122,8 +123,9 @@
 	}
 	defer store.Close()
 	if m.stops.history.Stops > 0 {
-		// A replica on a disk that takes no writes would stop again at its first one.
-		if err := store.Append(&restored.HardState, nil); err != nil {
+		// The last write may have failed. A replica on a disk that takes none would stop
+		// again at its first one.
+		if err := store.Rewrite(restored); err != nil {
 			return err
 		}
 	}
--- a/fleet/disk/full_disk_test.go
+++ b/fleet/disk/full_disk_test.go
@@ -226,3 +226,24 @@
 	_, err := reopen(folder)
 	is.NoErr(err)
 }
+
+// TestRewriteKeepsTheState guards against a rewritten log that lacks what was read, or to which
+// entries can't be appended.
+func TestRewriteKeepsTheState(t *testing.T) {
+	is := is.New(t)
+	folder, _ := newFolder(t)
+	s, before, err := Open(folder)
+	is.NoErr(err)
+	is.NoErr(s.Rewrite(before))
+	hard := raft.HardState{
+		Term: before.HardState.Term + 1,
+	}
+	next := entry(before.Snapshot.Index+uint64(len(before.Entries))+1, hard.Term)
+	is.NoErr(s.Append(&hard, []raft.Entry{next}))
+	s.Close()
+	s, after, err := Open(folder)
+	is.NoErr(err)
+	defer s.Close()
+	is.Equal(after.HardState, hard)
+	is.Equal(after.Entries, append(before.Entries, next))
+}
--- a/fleet/disk/store.go
+++ b/fleet/disk/store.go
@@ -235,7 +235,23 @@
 	if err := replaceFile(s.folder, snapshotFile, appendRecord(nil, payload)); err != nil {
 		return err
 	}
-	logBytes, err := s.replaceLog(hard, after)
+	return s.startLog(hard, after)
+}
+
+// Rewrite replaces the log by a new file with what Open has read. After a failed sync the
+// old file may read as written although the disk lacks a part of it. After an error every
+// later write returns ErrFailed.
+func (s *Store) Rewrite(restored raft.Restored) error {
+	if s.failed {
+		return ErrFailed
+	}
+	s.failed = true
+	return s.startLog(restored.HardState, restored.Entries)
+}
+
+// startLog replaces the log and opens the new one. If it succeeds, the store takes writes.
+func (s *Store) startLog(hard raft.HardState, entries []raft.Entry) error {
+	logBytes, err := s.replaceLog(hard, entries)
 	if err != nil {
 		return err
 	}
