replica: a reply to an earlier start confirms no read

What callers would see: a read that misses an acknowledged command.

Cause: read requests were numbered from one at each start of a replica, under the same identifier. A leader that confirms a read of the start before answers it to the one that runs now, which takes it for the reply to its own read with that number.

Change: the first number is random.

--- a/controller/internal/replica/replica.go
+++ b/controller/internal/replica/replica.go
@@ -134,12 +134,14 @@
 	fatal     error
 
 	// The following fields belong to the control goroutine, which runs Run.
-	pending             map[uint64]*proposal // by log index
-	unconfirmedReads    map[uint64]readRequest
-	confirmedReads      []confirmedRead
-	hardState           raft.HardState
-	durableHardState    raft.HardState
-	snapshotIndex       uint64
+	pending          map[uint64]*proposal // by log index
+	unconfirmedReads map[uint64]readRequest
+	confirmedReads   []confirmedRead
+	hardState        raft.HardState
+	durableHardState raft.HardState
+	snapshotIndex    uint64
+	// lastReadID is the identifier of the last read. The first one is random, since a leader
+	// may still confirm reads of an earlier start of the replica.
 	lastReadID          uint64
 	diskBindingProposed bool // in the present term as leader
 	leading             bool
@@ -183,6 +185,7 @@
 		stopped:          make(chan struct{}),
 		pending:          make(map[uint64]*proposal),
 		unconfirmedReads: make(map[uint64]readRequest),
+		lastReadID:       random.Uint64(),
 		hardState:        restored.HardState,
 		durableHardState: restored.HardState,
 		snapshotIndex:    restored.Snapshot.Index,
