--- a/controller/internal/replica/read_identifier_test.go
+++ b/controller/internal/replica/read_identifier_test.go
@@ -74,8 +74,8 @@
 	present.core.Step(time.Now(), late)
 	is.NoErr(present.processOutput())
 	select {
-	case <-read.done:
-		t.Fatal("the read was confirmed")
+	case err := <-read.done:
+		t.Fatal("the read was confirmed:", err)
 	default:
 	}
 	late.Context = own
