soak: a process that was paused at its start may not handle signals yet

Cause: the soak paused the process right after its start, and counted the pause to the time after which a process handles SIGHUP. The signal then came before the first call of the program.

Change: the pause doesn't count.

--- a/bench/internal/soak/faults.go
+++ b/bench/internal/soak/faults.go
@@ -159,8 +159,10 @@
 	defer p.mu.Unlock()
 	endFault := p.faultTimes.begin()
 	p.signal(syscall.SIGSTOP)
+	paused := time.Now()
 	time.Sleep(randomDuration(random, 4*time.Second))
 	p.signal(syscall.SIGCONT)
+	p.started = p.started.Add(time.Since(paused)) // it may not handle signals yet
 	endFault()
 }
 
