--- a/bench/internal/soak/planned_work_test.go
+++ b/bench/internal/soak/planned_work_test.go
@@ -296,7 +296,7 @@
 const plannedSeed = "BAOBABPADDLE_PLANNED_WORK"
 
 // TestPlannedWorkCutsNoRequest guards against requests that get no answer since their gateway is
-// stopped, perhaps more than once, is told to read its settings again or gets another
+// stopped, perhaps more than once, gets SIGHUP or receives another
 // configuration.
 func TestPlannedWorkCutsNoRequest(t *testing.T) {
 	seed, all := uint64(1), false
--- a/controller/internal/gateway/origins_test.go
+++ b/controller/internal/gateway/origins_test.go
@@ -239,7 +239,7 @@
 
 // TestResultOfAnEarlierTermIsDropped guards against the end of a proposed change of a former
 // term that is taken for the end of the one that is under way: two were then proposed at a
-// time, with streams that this leader had not been told of.
+// time, with streams that nobody had reported to this leader.
 func TestResultOfAnEarlierTermIsDropped(t *testing.T) {
 	is := is.New(t)
 	h := newTestHub()
--- a/controller/internal/operator/logged_test.go
+++ b/controller/internal/operator/logged_test.go
@@ -19,7 +19,7 @@
 const keptCharacters = 200
 
 // TestCutAnswerLineShowsProblem guards against a line about a failed call of an operator that,
-// cut off as collectors do, does not tell what was wrong.
+// cut off as collectors do, does not say what was wrong.
 func TestCutAnswerLineShowsProblem(t *testing.T) {
 	const begin = `{"time":"2026-01-02T03:04:05.000000Z","level":"WARN","msg":"configuration read answered",`
 	for name, c := range map[string]struct {
--- a/controller/internal/peer/stops_test.go
+++ b/controller/internal/peer/stops_test.go
@@ -20,7 +20,7 @@
 const keptCharacters = 200
 
 // TestCutStopLineShowsCause guards against a line about a stopped replica that, cut off as
-// collectors do, tells neither why it stopped nor how often, and that a disk which stays full
+// collectors do, says neither why it stopped nor how often, and that a disk which stays full
 // repeats five times a second.
 func TestCutStopLineShowsCause(t *testing.T) {
 	is := is.New(t)
--- a/fleet/disk/store.go
+++ b/fleet/disk/store.go
@@ -99,7 +99,7 @@
 
 // Open locks the folder and returns a Store for it and the durable state read from
 // it. An incomplete last record of the log is truncated, which takes no space on the
-// disk; only a log that a snapshot covers is written anew. Errors wrap ErrNoIdentity,
+// disk; only a log that a snapshot covers is written again. Errors wrap ErrNoIdentity,
 // ErrLocked or ErrDamaged where one of them is the cause.
 func Open(folder string) (*Store, raft.Restored, error) {
 	s := &Store{
--- a/gateway/internal/controller/link.go
+++ b/gateway/internal/controller/link.go
@@ -58,7 +58,7 @@
 	origin origin.Origin
 }
 
-// leader identifies a leader for as long as it knows what it was told. Terms are zero from
+// leader identifies a leader for as long as it keeps what it received. Terms are zero from
 // leaders that don't state them.
 type leader struct {
 	address string
