--- a/fleet/origin/out_of_step_model_test.go
+++ b/fleet/origin/out_of_step_model_test.go
@@ -19,7 +19,7 @@
 // outOfStepFleet is a fleet in which a controller that is cut off or stands still goes on
 // believing that it leads, and gateways that are cut off or stand still act late. Each controller
 // has its own copy of the history, which may lack changes. Identifiers of upstreams are not used
-// again; addresses may be, so an upstream that has ended can't be told from one that refuses.
+// again; addresses may be, so an upstream that has ended looks like one that refuses.
 type outOfStepFleet struct {
 	random *rand.Rand
 	now    time.Time
