--- a/controller/internal/node/account.go
+++ b/controller/internal/node/account.go
@@ -77,7 +77,7 @@
 	}
 }
 
-// Run drops sidecars without a link, and all accounts at the end of a term, until the
+// Run drops sidecars that were silent for sidecarExpiry, and all accounts at the end of a term, until the
 // context ends.
 func (a *Accounts) Run(ctx context.Context) {
 	ticker := time.NewTicker(expiryInterval)
