--- a/review/driver/fleet.go
+++ b/review/driver/fleet.go
@@ -104,8 +104,18 @@
 
 	controllers []*process
 	gateways    []*process
-	extra       []*process
 	list        *upstreamList
+
+	mu sync.Mutex
+	// added are controllers that were started later, numbered after the first ones.
+	added []*process
+}
+
+// members returns all controllers, those that were added later last.
+func (f *fleet) members() []*process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append(append([]*process(nil), f.controllers...), f.added...)
 }
 
 // newFleet returns a fleet of controllers with a disk each and gateways; nothing runs yet.
@@ -138,23 +148,7 @@
 		f.controllers = append(f.controllers, p)
 	}
 	for i := range gateways {
-		p, err := f.program("gateway", i, map[string]any{
-			"name":                 fmt.Sprintf("gateway-%d", i+1),
-			"zone":                 "zone-a",
-			"listen":               f.gatewayAddress(i),
-			"ready_listen":         fmt.Sprintf("%s:%d", f.gatewayHost(i), readyPort),
-			"metrics_listen":       f.gatewayHost(i) + ":9464",
-			"seeds":                seeds,
-			"port":                 peerPort,
-			"memory_mb":            284,
-			"max_open_files":       4100,
-			"grace_seconds":        graceSeconds,
-			"revoke_ms":            revokeMillis,
-			"retry_ratio":          0.2,
-			"retry_slack":          58,
-			"retry_window_seconds": 10,
-			"credential":           map[string]any{"private_network": true},
-		})
+		p, err := f.program("gateway", i, f.gatewaySettings(i, seeds))
 		if err != nil {
 			return nil, err
 		}
@@ -183,6 +177,27 @@
 	}
 }
 
+// gatewaySettings are those of deploy/gateway.json for one host.
+func (f *fleet) gatewaySettings(i int, seeds []string) map[string]any {
+	return map[string]any{
+		"name":                 fmt.Sprintf("gateway-%d", i+1),
+		"zone":                 "zone-a",
+		"listen":               f.gatewayAddress(i),
+		"ready_listen":         fmt.Sprintf("%s:%d", f.gatewayHost(i), readyPort),
+		"metrics_listen":       f.gatewayHost(i) + ":9464",
+		"seeds":                seeds,
+		"port":                 peerPort,
+		"memory_mb":            284,
+		"max_open_files":       4100,
+		"grace_seconds":        graceSeconds,
+		"revoke_ms":            revokeMillis,
+		"retry_ratio":          0.2,
+		"retry_slack":          58,
+		"retry_window_seconds": 10,
+		"credential":           map[string]any{"private_network": true},
+	}
+}
+
 // program returns a process with the command of the deploy file and its settings file.
 func (f *fleet) program(role string, i int, settings map[string]any) (*process, error) {
 	name := fmt.Sprintf("%s-%d", role, i+1)
@@ -265,7 +280,7 @@
 
 // stop ends all processes and removes the temporary folder.
 func (f *fleet) stop() {
-	for _, p := range append(append(append([]*process(nil), f.gateways...), f.controllers...), f.extra...) {
+	for _, p := range append(append([]*process(nil), f.gateways...), f.members()...) {
 		p.kill()
 	}
 	if folder := os.Getenv("KEEP_LOGS"); folder != "" {
@@ -344,14 +359,14 @@
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		status, err := o.put(o.next, document)
 		if err == nil && status == http.StatusOK {
-			o.fleet.record.add("operator: configuration %d confirmed by %s", c.Version, o.fleet.controllers[o.next].name)
+			o.fleet.record.add("operator: configuration %d confirmed by %s", c.Version, o.fleet.members()[o.next].name)
 			return nil
 		}
 		last = fmt.Sprintf("status %d, error %v", status, err)
 		if status == http.StatusBadRequest {
 			break
 		}
-		o.next = (o.next + 1) % len(o.fleet.controllers)
+		o.next = (o.next + 1) % len(o.fleet.members())
 	}
 	return fmt.Errorf("configuration %d was not acknowledged: %s", c.Version, last)
 }
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -36,6 +36,21 @@
 		gateways:    2,
 		run:         runCutAnswer,
 	},
+	"deadly-move": {
+		controllers: 3,
+		gateways:    2,
+		run:         runDeadlyMove,
+	},
+	"deadly-stream": {
+		controllers: 3,
+		gateways:    2,
+		run:         runDeadlyStream,
+	},
+	"lost-founder": {
+		controllers: 3,
+		gateways:    2,
+		run:         runLostFounder,
+	},
 }
 
 func main() {
