--- a/review/driver/main_test.go
+++ b/review/driver/main_test.go
@@ -45,6 +45,11 @@
 		gateways:    2,
 		run:         runDeadlyStream,
 	},
+	"one-voter": {
+		controllers: 3,
+		gateways:    2,
+		run:         runOneVoter,
+	},
 	"lost-founder": {
 		controllers: 3,
 		gateways:    2,
