--- a/review/driver/fleet_test.go
+++ b/review/driver/fleet_test.go
@@ -35,6 +35,26 @@
 	stableWindow = 3 * time.Second
 )
 
+// started holds all processes that were started, to end them with the case.
+var started struct {
+	mu    sync.Mutex
+	over  bool // no process may be started any more
+	procs []*process
+}
+
+// errOver is returned for a process that is to be started after the end of the case.
+var errOver = errors.New("the case is over")
+
+// endProcesses ends all processes and lets none start any more.
+func endProcesses() {
+	started.mu.Lock()
+	defer started.mu.Unlock()
+	started.over = true
+	for _, p := range started.procs {
+		p.kill()
+	}
+}
+
 // process is a program of the fleet or a stand-in.
 type process struct {
 	name    string
@@ -59,9 +79,15 @@
 	p.command.Env = append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}, p.env...)
 	p.command.Stdout = log
 	p.command.Stderr = log
+	started.mu.Lock()
+	defer started.mu.Unlock()
+	if started.over {
+		return errOver
+	}
 	if err := p.command.Start(); err != nil {
 		return err
 	}
+	started.procs = append(started.procs, p)
 	p.done = make(chan struct{})
 	go func(c *exec.Cmd, done chan struct{}) {
 		_ = c.Wait() // the log shows how it ended
@@ -280,9 +306,7 @@
 
 // stop ends all processes and removes the temporary folder.
 func (f *fleet) stop() {
-	for _, p := range append(append([]*process(nil), f.gateways...), f.members()...) {
-		p.kill()
-	}
+	endProcesses()
 	if folder := os.Getenv("KEEP_LOGS"); folder != "" {
 		_ = os.CopyFS(folder, os.DirFS(f.work))
 	}
--- a/review/driver/main_test.go
+++ b/review/driver/main_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -89,6 +91,8 @@
 		return exitNotRun
 	}
 	defer f.stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGPIPE)
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.add("case %s, disruption %v", os.Args[1], trouble)
 	type outcome struct {
@@ -118,6 +122,9 @@
 		rec.add("the rule held")
 		fmt.Println("the rule held")
 		return exitHeld
+	case s := <-signals:
+		rec.add("the case was ended by signal %v", s)
+		return exitNotRun
 	case <-time.After(runLimit):
 		rec.add("the case took too long")
 		fmt.Fprintln(os.Stderr, "the case took too long")
