serve: log why a request was not written completely although it was answered

Upstreams may answer before they have read a long request. Nothing told how its writing ended, so that an answer which ended with its connection in order could not be told from one whose reset the writing goroutine took. The line 'upstream tried' now has request_cause.

--- a/fleet/trace/step.go
+++ b/fleet/trace/step.go
@@ -45,6 +45,7 @@
 	KeyRetryAfter      = "retry_after_ms"
 	KeyOutcome         = "outcome"
 	KeyCause           = "cause"
+	KeyRequestCause    = "request_cause"
 	KeyTook            = "took_ms"
 	KeyFirstByte       = "first_ms"
 	KeyLastEvent       = "last_event"
@@ -176,7 +177,9 @@
 	// Status is the status of the upstream's answer; zero if there was none.
 	Status int
 	Cause  string
-	Took   time.Duration
+	// RequestCause is why the request was not written completely although it was answered.
+	RequestCause string
+	Took         time.Duration
 	// LastEvent is the identifier of the last event of a stream that was forwarded to
 	// the caller.
 	LastEvent string
@@ -200,6 +203,7 @@
 	dst = append(appendText(dst, KeyCause, s.Cause), millis(KeyTook, s.Took), slog.String(KeyUpstream, s.Upstream),
 		slog.String(KeyRequest, request))
 	dst = appendText(dst, KeyUpstreamVersion, s.Version)
+	dst = appendText(dst, KeyRequestCause, s.RequestCause)
 	dst = appendText(dst, KeyLastEvent, s.LastEvent)
 	switch {
 	case s.RateLimit.Stated:
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -317,10 +317,15 @@
 		h.scheduler.ReportOutcome(d.ID, r.reported)
 		return r.outcome
 	}
+	forwardBody := x.forwardBuffered
 	if x.route.Kind == configuration.Stream && answer.Status < http.StatusMultipleChoices {
-		return x.forward(d.ID, destination.Address, answer, x.forwardEvents)
+		forwardBody = x.forwardEvents
 	}
-	return x.forward(d.ID, destination.Address, answer, x.forwardBuffered)
+	result := x.forward(d.ID, destination.Address, answer, forwardBody)
+	if err := answer.RequestErr(); err != nil {
+		step.RequestCause = err.Error()
+	}
+	return result
 }
 
 // upstreamRequest returns the request to the upstream with the given identifier. A
--- a/gateway/internal/upstream/exchange.go
+++ b/gateway/internal/upstream/exchange.go
@@ -206,6 +206,21 @@
 	return n, err
 }
 
+// RequestErr returns the error with which the writing of the request ended, or nil if it
+// succeeded or goes on. An upstream may answer before it has read the whole request.
+func (a *Answer) RequestErr() error {
+	if a.written == nil {
+		return nil
+	}
+	select {
+	case err := <-a.written:
+		a.written <- err // for the next call
+		return err
+	default:
+		return nil
+	}
+}
+
 // Close ends the exchange. The connection returns to the pool if the request was written and
 // the answer read completely, and nothing followed it. Otherwise it is closed, which signals
 // the upstream to stop.
