tcp, upstream: a reset that the writer receives breaks the answer off

What callers saw: an upstream crashed in the middle of an answer without a length or chunks, while it had not read the whole request, and they got a success with a part of the body, Content-Length included.

Cause: the kernel reports a reset to one call on the socket. A request of more than 16 KiB is written by a goroutine beside the one that reads its answer. If the writer takes ECONNRESET, reads return the end of the data as after a FIN, which is the end of an answer that has no other mark. Ruled out: an orderly end before the reset (the write would fail with EPIPE), an error that the reader drops.

--- a/gateway/internal/serve/handler_test.go
+++ b/gateway/internal/serve/handler_test.go
@@ -149,7 +149,13 @@
 // send sends a POST request as a caller, with headers as pairs of name and value.
 func (g *testGateway) send(path string, headers ...string) (*http.Response, string, error) {
 	g.t.Helper()
-	request, err := http.NewRequest(http.MethodPost, g.server.URL+path, strings.NewReader("body"))
+	return g.sendBody(path, "body", headers...)
+}
+
+// sendBody is like send, with the given body.
+func (g *testGateway) sendBody(path, body string, headers ...string) (*http.Response, string, error) {
+	g.t.Helper()
+	request, err := http.NewRequest(http.MethodPost, g.server.URL+path, strings.NewReader(body))
 	if err != nil {
 		g.t.Fatal(err)
 	}
@@ -163,8 +169,8 @@
 		return nil, "", err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	return response, string(body), err
+	answer, err := io.ReadAll(response.Body)
+	return response, string(answer), err
 }
 
 // requestCount returns the number of requests that upstreams have received.
--- a/gateway/internal/upstream/client.go
+++ b/gateway/internal/upstream/client.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"baobabpaddle/fleet/tcp"
 )
 
 // Timings and sizes of a Client.
@@ -254,7 +256,7 @@
 		return nil, err
 	}
 	k := &conn{
-		Conn:    stream,
+		Conn:    tcp.New(stream),
 		address: address,
 	}
 	k.reader = bufio.NewReaderSize(k, readBufferBytes)
