--- a/sidecar/internal/upstream/client.go
+++ b/sidecar/internal/upstream/client.go
@@ -14,6 +14,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"baobabpaddle/fleet/share"
+	"baobabpaddle/fleet/tcp"
 	"baobabpaddle/fleet/wire"
 )
 
@@ -50,11 +51,18 @@
 // newHTTPClient returns an HTTP client that follows no redirects and leaves compressed
 // bodies as they are. Without keepAlive each request has a connection of its own.
 func newHTTPClient(keepAlive bool) *http.Client {
+	dialer := net.Dialer{
+		Timeout: dialTimeout,
+	}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext: (&net.Dialer{
-				Timeout: dialTimeout,
-			}).DialContext,
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				c, err := dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return tcp.New(c), nil
+			},
 			DisableKeepAlives:   !keepAlive,
 			MaxIdleConnsPerHost: maxIdlePerHost,
 			IdleConnTimeout:     idleConnTimeout,
