--- a/controller/internal/gateway/measure.go
+++ b/controller/internal/gateway/measure.go
@@ -24,6 +24,7 @@
 	// segments and requests are the numbers of quarantined prompt segments and requests.
 	segments int
 	requests int
+	evidence dispatch.EvidenceCounts
 	// streams is the number of streams in the replicated history.
 	streams int
 }
@@ -47,6 +48,9 @@
 	m.Gauge("controller_teams_short", func() float64 { return float64(s.latest.Load().short) })
 	m.Gauge("controller_segments_quarantined", func() float64 { return float64(s.latest.Load().segments) })
 	m.Gauge("controller_requests_quarantined", func() float64 { return float64(s.latest.Load().requests) })
+	m.Gauge(`controller_suspects_cleared_total{by="answer"}`, func() float64 { return float64(s.latest.Load().evidence.ClearedByAnswers) })
+	m.Gauge(`controller_suspects_cleared_total{by="lasting_answer"}`, func() float64 { return float64(s.latest.Load().evidence.ClearedByLasting) })
+	m.Gauge("controller_lasting_answers_crashed_total", func() float64 { return float64(s.latest.Load().evidence.LastingCrashed) })
 	m.Gauge("controller_upstreams_rate_limited", func() float64 { return float64(s.latest.Load().limited) })
 	m.Gauge("controller_streams_recorded", func() float64 { return float64(s.latest.Load().streams) })
 	m.Gauge("controller_teams_counted", func() float64 { return float64(s.latest.Load().teams) })
@@ -72,6 +76,7 @@
 	next.short = len(short)
 	register := scheduler.Quarantine()
 	next.segments, next.requests = register.QuarantinedOf(quarantine.Segment), register.QuarantinedOf(quarantine.Request)
+	next.evidence = scheduler.EvidenceCounts()
 	next.limited = len(scheduler.RateLimits())
 	next.streams = streams()
 	s.latest.Store(next)
--- a/fleet/dispatch/evidence.go
+++ b/fleet/dispatch/evidence.go
@@ -55,6 +55,20 @@
 // subjects returns what evidence from the request is held against.
 func (p *placedRequest) subjects() []quarantine.Subject { return subjects(p.prompt, p.digest) }
 
+// EvidenceCounts counts what became of the evidence against subjects.
+type EvidenceCounts struct {
+	// ClearedByAnswers is the number of subjects with evidence that complete answers cleared,
+	// ClearedByLasting the number of those that answers cleared which had lasted for soundAfter.
+	ClearedByAnswers int
+	ClearedByLasting int
+	// LastingCrashed is the number of answers that had lasted for soundAfter when their
+	// engine crashed.
+	LastingCrashed int
+}
+
+// EvidenceCounts returns the counts since the Scheduler was made.
+func (s *Scheduler) EvidenceCounts() EvidenceCounts { return s.evidenceCounts }
+
 // startedRequest is a request whose answer counts as sound at a time if it still goes on.
 type startedRequest struct {
 	key     Key
@@ -90,7 +104,7 @@
 		s.started = s.started[1:]
 		if s.placed[first.key] == first.request {
 			s.endTrial(first.request)
-			s.quarantine.RecordAnswer(now, first.request.subjects())
+			s.evidenceCounts.ClearedByLasting += s.quarantine.RecordAnswer(now, first.request.subjects())
 		}
 	}
 	for len(s.crashedTrials) > 0 && !now.Before(s.crashedTrials[0].judgeAt) {
@@ -214,7 +228,15 @@
 	switch {
 	case p.started && outcome == Answered || p.sound(now):
 		s.endTrial(p)
-		s.quarantine.RecordAnswer(now, found)
+		if outcome == Crashed {
+			s.evidenceCounts.LastingCrashed++
+		}
+		cleared := s.quarantine.RecordAnswer(now, found)
+		if outcome == Answered {
+			s.evidenceCounts.ClearedByAnswers += cleared
+		} else {
+			s.evidenceCounts.ClearedByLasting += cleared
+		}
 	case outcome == Crashed:
 		s.recordCrash(now, p, crash, found)
 	case outcome == Broken || outcome == ResponseTimeout || outcome == Failed:
@@ -228,7 +250,7 @@
 func (s *Scheduler) recordCrash(now time.Time, p *placedRequest, crash uint64, found []quarantine.Subject) {
 	for _, subject := range found {
 		if s.quarantine.Completes(now, subject, p.placedAt) && s.answering(now, subject) {
-			s.quarantine.RecordAnswer(now, []quarantine.Subject{subject})
+			s.evidenceCounts.ClearedByLasting += s.quarantine.RecordAnswer(now, []quarantine.Subject{subject})
 		}
 	}
 	s.quarantine.RecordCrash(now, p.placedAt, crash, found)
--- a/fleet/dispatch/scheduler.go
+++ b/fleet/dispatch/scheduler.go
@@ -39,6 +39,7 @@
 	// answeredAt.
 	answeredSubjects map[quarantine.Subject]bool
 	answeredAt       time.Time
+	evidenceCounts   EvidenceCounts
 	// following reports that another Scheduler decides and keeps the evidence.
 	following bool
 }
--- a/fleet/quarantine/register.go
+++ b/fleet/quarantine/register.go
@@ -181,12 +181,18 @@
 	r.held[e.kind]--
 }
 
-// RecordAnswer records that an engine answered a request, which clears its subjects.
-func (r *Register) RecordAnswer(now time.Time, subjects []Subject) {
+// RecordAnswer records that an engine answered a request, which clears its subjects. It returns
+// the number of subjects that there was evidence against.
+func (r *Register) RecordAnswer(now time.Time, subjects []Subject) int {
+	cleared := 0
 	for _, subject := range subjects {
 		r.answered[subject.Kind].remember(now, subject.ID)
+		if r.IsSuspect(subject) {
+			cleared++
+		}
 		r.remove(now, subject.ID, Answered)
 	}
+	return cleared
 }
 
 // Release releases a subject at an operator's request.
