dispatch, quarantine: crashes in mid-answer are evidence against segments without complete answers

The same cause on the way of prompt segments: a part of an answer clears them, and the end of an answer that has lasted for 300 ms counted as an answer even if it was a crash. A segment whose requests crash engines later than that was never quarantined.

A popular sound segment has answers in flight at every crash, so that not all such crashes may count. Change: one counts against a segment that is known to have had no complete answer for 30 s, unless another answer with it has lasted longer. Only a complete answer clears the segment then, also in trials, and records of it say so to other processes, on links (cbor 10) and in the log (mid_answer); older programs ignore the field. The subjects of a trial that crashed are all of its subjects, so that none stays in trial.

--- a/controller/internal/gateway/quarantine.go
+++ b/controller/internal/gateway/quarantine.go
@@ -78,6 +78,7 @@
 			Rounds:     q.Rounds,
 			Crashes:    q.Crashes,
 			LateTrials: q.LateTrials,
+			MidAnswer:  q.MidAnswer,
 			TrialIn:    quarantine.TrialWait(q.Rounds),
 			Companions: q.Companions,
 		})
@@ -134,6 +135,7 @@
 			Rounds:     record.Rounds,
 			Crashes:    record.Crashes,
 			LateTrials: record.LateTrials,
+			MidAnswer:  record.MidAnswer,
 			Companions: record.Companions,
 		})
 	}
--- a/fleet/dispatch/evidence.go
+++ b/fleet/dispatch/evidence.go
@@ -11,8 +11,8 @@
 const (
 	// soundAfter is the duration of an answer from which it clears the segments of its prompt,
 	// even if it is not complete. An engine may send the first tokens before it crashes. Only a
-	// complete answer clears the request itself, which may crash its engine at any time and
-	// has no other requests to clear it or to be refused with it.
+	// complete answer clears a segment whose requests crashed engines after that time, and the
+	// request itself, which has no other requests to clear it or to be refused with it.
 	soundAfter = 300 * time.Millisecond
 	// crashWindow is the time in which requests that broke off count for the same crash of
 	// an upstream. Gateways notice it at different times.
@@ -126,12 +126,12 @@
 }
 
 // clearSegments clears the segments of a request whose answer has lasted for soundAfter. A
-// trial goes on only if there is evidence against the request itself.
+// trial goes on if there is evidence left against one of its subjects.
 func (s *Scheduler) clearSegments(now time.Time, p *placedRequest) {
-	if !slices.ContainsFunc(p.ownSubjects(), s.quarantine.IsSuspect) {
+	s.evidenceCounts.ClearedByLasting += s.quarantine.RecordPartialAnswer(now, p.sharedSubjects())
+	if !slices.ContainsFunc(p.subjects(), s.quarantine.IsSuspect) {
 		s.endTrial(p)
 	}
-	s.evidenceCounts.ClearedByLasting += s.quarantine.RecordAnswer(now, p.sharedSubjects())
 }
 
 // crashesAround returns the number of upstreams that crashed within isolationWindow of a
@@ -159,21 +159,38 @@
 	})
 }
 
-// answering reports whether an answer to a request with the segment has lasted for soundAfter,
-// which shows that the segment doesn't crash engines.
-func (s *Scheduler) answering(now time.Time, segment quarantine.Subject) bool {
-	if s.answeredSubjects == nil || now.Sub(s.answeredAt) > answeredMemory {
-		s.answeredSubjects = make(map[quarantine.Subject]bool)
-		s.answeredAt = now
+// answering reports whether an answer to a request with the segment has lasted longer than the
+// given time, by soundAfter at least: it has passed the point at which an answer of that age
+// ended with a crash.
+func (s *Scheduler) answering(now time.Time, segment quarantine.Subject, age time.Duration) bool {
+	if s.oldestAnswers == nil || now.Sub(s.oldestAt) > answeredMemory {
+		s.oldestAnswers = make(map[quarantine.Subject]time.Time)
+		s.oldestAt = now
 		for _, p := range s.placed {
-			if p.sound(now) {
-				for _, answered := range p.sharedSubjects() {
-					s.answeredSubjects[answered] = true
-				}
+			if p.started {
+				s.noteOldest(p)
 			}
 		}
 	}
-	return s.answeredSubjects[segment]
+	startedAt, ok := s.oldestAnswers[segment]
+	return ok && now.Sub(startedAt) >= age+soundAfter
+}
+
+// noteOldest collects the begin of an answer for its segments.
+func (s *Scheduler) noteOldest(p *placedRequest) {
+	for _, segment := range p.sharedSubjects() {
+		if at, ok := s.oldestAnswers[segment]; !ok || p.startedAt.Before(at) {
+			s.oldestAnswers[segment] = p.startedAt
+		}
+	}
+}
+
+// age returns for how long the answer has lasted; zero if it has not begun.
+func (p *placedRequest) age(now time.Time) time.Duration {
+	if !p.started {
+		return 0
+	}
+	return now.Sub(p.startedAt)
 }
 
 // sound reports whether the answer has lasted for soundAfter.
@@ -233,8 +250,9 @@
 
 // recordEvidence records what the end of a request shows about its subjects. A crash of its
 // engine is evidence against the request itself whenever it comes, unless another answer to it
-// goes on that has lasted for longer, and against its segments only before the answer has
-// lasted for soundAfter.
+// goes on that has lasted for longer. If the answer has lasted for soundAfter, it is evidence
+// against those segments only that are known to have no complete answers, with the same
+// exception.
 func (s *Scheduler) recordEvidence(now time.Time, p *placedRequest, outcome Outcome) {
 	if s.following {
 		return
@@ -247,19 +265,21 @@
 	lasting := p.sound(now) && outcome != Answered
 	if lasting {
 		s.clearSegments(now, p)
-		found = p.ownSubjects()
 	}
 	switch {
 	case p.started && outcome == Answered:
 		s.endTrial(p)
 		s.evidenceCounts.ClearedByAnswers += s.quarantine.RecordAnswer(now, found)
 	case outcome == Crashed:
-		if lasting {
-			s.evidenceCounts.LastingCrashed++
-		}
 		if s.outlasted(now, p) {
 			s.abortTrial(now, p)
-			found = slices.DeleteFunc(found, func(subject quarantine.Subject) bool { return subject.Kind == quarantine.Request })
+			found = p.sharedSubjects()
+		}
+		if lasting {
+			s.evidenceCounts.LastingCrashed++
+			found = slices.DeleteFunc(found, func(subject quarantine.Subject) bool {
+				return subject.Kind == quarantine.Segment && (!s.quarantine.LacksAnswers(now, subject) || s.answering(now, subject, p.age(now)))
+			})
 		}
 		s.recordCrash(now, p, crash, found)
 	case outcome == Broken || outcome == ResponseTimeout || outcome == Failed:
@@ -272,14 +292,18 @@
 // recordCrash records that the engine of a request without a complete answer crashed.
 func (s *Scheduler) recordCrash(now time.Time, p *placedRequest, crash uint64, found []quarantine.Subject) {
 	for _, subject := range found {
-		if subject.Kind == quarantine.Segment && s.quarantine.Completes(now, subject, p.placedAt) && s.answering(now, subject) {
-			s.evidenceCounts.ClearedByLasting += s.quarantine.RecordAnswer(now, []quarantine.Subject{subject})
+		if subject.Kind == quarantine.Segment && s.quarantine.Completes(now, subject, p.placedAt) && s.answering(now, subject, 0) {
+			s.evidenceCounts.ClearedByLasting += s.quarantine.RecordPartialAnswer(now, []quarantine.Subject{subject})
 		}
 	}
-	s.quarantine.RecordCrash(now, p.placedAt, crash, found)
-	if s.unmarkTrial(p) != nil {
+	if p.sound(now) {
+		s.quarantine.RecordMidAnswerCrash(now, p.placedAt, crash, found)
+	} else {
+		s.quarantine.RecordCrash(now, p.placedAt, crash, found)
+	}
+	if tried := s.unmarkTrial(p); tried != nil {
 		s.crashedTrials = append(s.crashedTrials, crashedTrial{
-			subjects:  found,
+			subjects:  tried,
 			crashedAt: now,
 			judgeAt:   now.Add(isolationWindow),
 		})
@@ -290,12 +314,8 @@
 // has lasted longer than this one, by soundAfter at least. It has passed the point at which
 // this one ended.
 func (s *Scheduler) outlasted(now time.Time, p *placedRequest) bool {
-	startedAt := now
-	if p.started {
-		startedAt = p.startedAt
-	}
 	for _, other := range s.byDigest[p.digest] {
-		if other.started && startedAt.Sub(other.startedAt) >= soundAfter && !other.engine.crashedSince(now, other.placedAt) {
+		if other.age(now) >= p.age(now)+soundAfter && !other.engine.crashedSince(now, other.placedAt) {
 			return true
 		}
 	}
--- a/fleet/dispatch/scheduler.go
+++ b/fleet/dispatch/scheduler.go
@@ -37,11 +37,11 @@
 	// crashes is the number of crashes of upstreams, and crashTimes the times of the last.
 	crashes    uint64
 	crashTimes []time.Time
-	// answeredSubjects are the segments of answers that had lasted for soundAfter at the time
-	// answeredAt.
-	answeredSubjects map[quarantine.Subject]bool
-	answeredAt       time.Time
-	evidenceCounts   EvidenceCounts
+	// oldestAnswers are the times at which the oldest answers in flight to requests with a
+	// segment began, as collected at oldestAt.
+	oldestAnswers  map[quarantine.Subject]time.Time
+	oldestAt       time.Time
+	evidenceCounts EvidenceCounts
 	// following reports that another Scheduler decides and keeps the evidence.
 	following bool
 }
--- a/fleet/quarantine/entry.go
+++ b/fleet/quarantine/entry.go
@@ -8,6 +8,9 @@
 	rounds     int
 	crashes    int
 	lateTrials int
+	// midAnswer reports whether a crash in the middle of an answer counts against the subject.
+	// Only a complete answer clears it then.
+	midAnswer bool
 	// lastRound is the time of the last round's crash, and graceUntil the time before which
 	// the subject is not quarantined.
 	lastRound  time.Time
@@ -41,6 +44,7 @@
 		Rounds:     e.rounds,
 		Crashes:    e.crashes,
 		LateTrials: e.lateTrials,
+		MidAnswer:  e.midAnswer,
 		SinceCrash: max(now.Sub(e.lastRound), 0),
 		TrialIn:    max(e.trialAt.Sub(now), 0),
 		Companions: r.companionsOf(id, e),
--- a/fleet/quarantine/merge.go
+++ b/fleet/quarantine/merge.go
@@ -59,6 +59,7 @@
 	e.rounds = max(e.rounds, record.Rounds)
 	e.crashes = max(e.crashes, record.Crashes)
 	e.lateTrials = max(e.lateTrials, record.LateTrials)
+	e.midAnswer = e.midAnswer || record.MidAnswer
 	if crashedAt.After(e.lastRound) {
 		e.lastRound = crashedAt
 	}
--- a/fleet/quarantine/record.go
+++ b/fleet/quarantine/record.go
@@ -11,6 +11,9 @@
 	Crashes int `cbor:"3,keyasint,omitempty"`
 	// LateTrials is the number of trials since Crashes reached lateCrashes.
 	LateTrials int `cbor:"4,keyasint,omitempty"`
+	// MidAnswer reports whether engines crashed in the middle of answers to requests that held
+	// the subject.
+	MidAnswer bool `cbor:"10,keyasint,omitempty"`
 	// SinceCrash is the time since the last crash, and TrialIn the time until the next
 	// trial may start; both count from when the record is sent.
 	SinceCrash time.Duration `cbor:"5,keyasint,omitempty"`
--- a/fleet/quarantine/register.go
+++ b/fleet/quarantine/register.go
@@ -20,6 +20,9 @@
 	// that time.
 	answeredGrace = time.Second
 	answerMemory  = 10 * time.Second
+	// completeMemory is the time after which a segment without a complete answer is known to have
+	// none. Most answers take less.
+	completeMemory = 30 * time.Second
 	// abortedTrialWait is the least wait after a trial whose end is unknown.
 	abortedTrialWait = time.Second
 	// suspectTimeout is the time after which a subject with fewer than restrictRounds
@@ -69,9 +72,12 @@
 	held        [Request + 1]int // number of entries of each kind
 	quarantined [Request + 1]int // number of quarantined subjects of each kind
 	released    map[uint64]time.Time
-	answered    [Request + 1]answers
-	changes     []Change
-	nextSweep   time.Time
+	// answered are the last answers that cleared subjects, completed the complete ones to
+	// requests with segments.
+	answered  [Request + 1]answers
+	completed answers
+	changes   []Change
+	nextSweep time.Time
 	// crashSets are the subjects of all unanswered requests at the last crashes, whose
 	// identifiers crashOrder has in order.
 	crashSets  map[uint64]map[uint64]bool
@@ -83,6 +89,17 @@
 	return &Register{
 		entries:  make(map[uint64]*entry),
 		released: make(map[uint64]time.Time),
+		answered: [Request + 1]answers{
+			Segment: {
+				memory: answerMemory,
+			},
+			Request: {
+				memory: answerMemory,
+			},
+		},
+		completed: answers{
+			memory: completeMemory,
+		},
 
 		crashSets: make(map[uint64]map[uint64]bool),
 	}
@@ -112,6 +129,16 @@
 // to the engine. All requests at the engine name the same crash. Once a subject is
 // quarantined, only FailTrial adds rounds.
 func (r *Register) RecordCrash(now, placedAt time.Time, crash uint64, subjects []Subject) {
+	r.recordCrash(now, placedAt, crash, subjects, false)
+}
+
+// RecordMidAnswerCrash is like RecordCrash, for a request whose answer had begun well before the
+// crash. Only complete answers clear its subjects from then on.
+func (r *Register) RecordMidAnswerCrash(now, placedAt time.Time, crash uint64, subjects []Subject) {
+	r.recordCrash(now, placedAt, crash, subjects, true)
+}
+
+func (r *Register) recordCrash(now, placedAt time.Time, crash uint64, subjects []Subject, midAnswer bool) {
 	r.addToCrash(crash, subjects)
 	for _, subject := range subjects {
 		e := r.entries[subject.ID]
@@ -126,6 +153,7 @@
 			e.crashes++
 		}
 		e.lastRequest = now
+		e.midAnswer = e.midAnswer || midAnswer
 		if e.quarantined() || e.rounds > 0 && !placedAt.After(e.lastRound) {
 			continue
 		}
@@ -181,20 +209,48 @@
 	r.held[e.kind]--
 }
 
-// RecordAnswer records that an engine answered a request, which clears its subjects. It returns
-// the number of subjects that there was evidence against.
+// RecordAnswer records that an engine answered a request completely, which clears its subjects.
+// It returns the number of subjects that there was evidence against.
 func (r *Register) RecordAnswer(now time.Time, subjects []Subject) int {
 	cleared := 0
 	for _, subject := range subjects {
-		r.answered[subject.Kind].remember(now, subject.ID)
-		if r.IsSuspect(subject) {
-			cleared++
+		if subject.Kind == Segment {
+			r.completed.remember(now, subject.ID)
 		}
-		r.remove(now, subject.ID, Answered)
+		cleared += r.clear(now, subject)
 	}
 	return cleared
 }
 
+// RecordPartialAnswer records that an engine has sent the beginning of the answer to a request.
+// It clears the subjects that no crash in the middle of an answer counts against, and returns
+// the number of those that there was evidence against.
+func (r *Register) RecordPartialAnswer(now time.Time, subjects []Subject) int {
+	cleared := 0
+	for _, subject := range subjects {
+		if e := r.entries[subject.ID]; e == nil || !e.midAnswer {
+			cleared += r.clear(now, subject)
+		}
+	}
+	return cleared
+}
+
+// clear clears a subject and returns 1 if there was evidence against it, and 0 otherwise.
+func (r *Register) clear(now time.Time, subject Subject) int {
+	r.answered[subject.Kind].remember(now, subject.ID)
+	if !r.IsSuspect(subject) {
+		return 0
+	}
+	r.remove(now, subject.ID, Answered)
+	return 1
+}
+
+// LacksAnswers reports whether no request with the segment has had a complete answer within
+// completeMemory. It returns false while that isn't known.
+func (r *Register) LacksAnswers(now time.Time, segment Subject) bool {
+	return r.completed.lacks(now, segment.ID)
+}
+
 // Release releases a subject at an operator's request.
 func (r *Register) Release(now time.Time, id uint64) { r.remove(now, id, ByOperator) }
 
--- a/fleet/state/quarantine.go
+++ b/fleet/state/quarantine.go
@@ -17,6 +17,8 @@
 	Rounds     int             `json:"rounds"`
 	Crashes    int             `json:"crashes"`
 	LateTrials int             `json:"late_trials"`
+	// MidAnswer reports whether upstreams crashed in the middle of answers.
+	MidAnswer bool `json:"mid_answer,omitempty"`
 	// Companions are other quarantined subjects that were at all of the crashes.
 	Companions []uint64 `json:"companions,omitempty"`
 	// Since is the leader's clock when the subject was first recorded.
