sidecar: heads of answers are limited to 64 KiB

Bodies are bounded there by the answer's buffer (1 MiB, then the upstream waits), lines of events by maxLineBytes.

TestEndlessHeads: 10,490,880 to 10,754,625 bytes sent before the connection was closed; now 167,452 to 175,646, most of them in socket buffers.

--- a/sidecar/internal/upstream/client.go
+++ b/sidecar/internal/upstream/client.go
@@ -20,9 +20,11 @@
 
 // Timeouts and limits of calls to upstreams. loadTimeout is for one load report.
 const (
-	dialTimeout     = 2 * time.Second
-	loadTimeout     = 5 * time.Second
-	maxLoadBytes    = 64 << 10
+	dialTimeout  = 2 * time.Second
+	loadTimeout  = 5 * time.Second
+	maxLoadBytes = 64 << 10
+	// maxHeadBytes is the maximum size of an answer's head, including interim answers.
+	maxHeadBytes    = 64 << 10
 	maxIdlePerHost  = 64
 	idleConnTimeout = 10 * time.Second
 )
@@ -63,10 +65,11 @@
 				}
 				return tcp.New(c), nil
 			},
-			DisableKeepAlives:   !keepAlive,
-			MaxIdleConnsPerHost: maxIdlePerHost,
-			IdleConnTimeout:     idleConnTimeout,
-			DisableCompression:  true,
+			DisableKeepAlives:      !keepAlive,
+			MaxIdleConnsPerHost:    maxIdlePerHost,
+			IdleConnTimeout:        idleConnTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
