upstream: a crash is recognized while the kernel still closes the process's sockets

Cause: after an exchange broke off the gateway asks once whether the host refuses connections. The kernel closes the sockets of a process one after the other; a connection that is opened between the end of the exchange and that of the listener is accepted, and reset a moment later.

Change: a connection that was accepted must stay open for 20 ms; otherwise a second one decides, since upstreams close those beyond their limit too.

--- a/gateway/internal/upstream/refuses.go
+++ b/gateway/internal/upstream/refuses.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"syscall"
 	"time"
 )
@@ -11,6 +12,9 @@
 	// refusalTimeout bounds the check whether a host refuses connections. A host that is
 	// up refuses or accepts within a round trip.
 	refusalTimeout = 150 * time.Millisecond
+	// refusalGrace is the time for which a connection that was accepted must stay open. The
+	// kernel may close the connections of a process that ends before its listener.
+	refusalGrace = 20 * time.Millisecond
 	// refusalMemory is the time for which the result of a check is used again: all
 	// exchanges with an upstream break off at the same moment when it crashes.
 	refusalMemory = 100 * time.Millisecond
@@ -60,15 +64,42 @@
 	}
 }
 
-// checkRefusal opens a connection and reports whether it was refused.
+// checkRefusal opens a connection and reports whether it was refused. If it is accepted and closed
+// within refusalGrace, another one decides: upstreams also close those beyond their limit.
 func (c *Client) checkRefusal(address string) bool {
+	for range 2 {
+		k, refused := c.tryConnect(address)
+		if k == nil {
+			return refused
+		}
+		if k.staysOpen(time.Now().Add(refusalGrace)) {
+			k.idleUntil = time.Now().Add(maxIdleTime)
+			c.putIdle(k)
+			return false
+		}
+		k.Close()
+	}
+	return false
+}
+
+// tryConnect opens a connection. If it fails, it reports whether the host refused it.
+func (c *Client) tryConnect(address string) (k *conn, refused bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), refusalTimeout)
 	defer cancel()
 	k, err := c.connect(ctx, address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return nil, errors.Is(err, syscall.ECONNREFUSED)
 	}
-	k.idleUntil = time.Now().Add(maxIdleTime)
-	c.putIdle(k)
-	return false
+	return k, false
+}
+
+// staysOpen reports whether the connection is open and without data until the given time.
+func (k *conn) staysOpen(until time.Time) bool {
+	if k.SetReadDeadline(until) != nil {
+		return false
+	}
+	if _, err := k.reader.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	return k.SetReadDeadline(time.Time{}) == nil
 }
--- a/gateway/internal/upstream/refuses_test.go
+++ b/gateway/internal/upstream/refuses_test.go
@@ -46,3 +46,38 @@
 	wait.Wait()
 	is.True(u.conns.Load() <= 3) // more than one only if the test was slow
 }
+
+// TestRefusesWhileProcessEnds guards against a crash that isn't recognized, since the kernel closes
+// the connections of the process a little before its listener: a connection that is opened in
+// between is accepted and then reset.
+func TestRefusesWhileProcessEnds(t *testing.T) {
+	is := is.New(t)
+	for range 20 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		time.AfterFunc(2*time.Millisecond, func() { l.Close() })
+		is.True(newClient().Refuses(l.Addr().String()))
+	}
+}
+
+// TestSurplusConnectionIsNoCrash guards against an upstream that counts as crashed since it resets
+// connections beyond its limit.
+func TestSurplusConnectionIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}()
+	c := newClient()
+	is.True(!c.Refuses(l.Addr().String()))
+	is.Equal(c.Idle(), 0)
+}
