--- a/bench/internal/soak/crashes_test.go
+++ b/bench/internal/soak/crashes_test.go
@@ -20,6 +20,8 @@
 	crashesNetwork = 8
 	// requestCrashesNetwork is that of TestRequestThatCrashesUpstreams.
 	requestCrashesNetwork = 12
+	// midStreamNetwork is that of TestRequestThatCrashesInMidStream.
+	midStreamNetwork = 32
 	// crashingSegment crashes the upstreams.
 	crashingSegment = 7777
 	// After crashGrace from the fifth crash no more than maxReachedAfter requests may reach
@@ -195,6 +197,87 @@
 	is.Equal(s.ledger.violations, nil)
 }
 
+// TestRequestThatCrashesInMidStream guards against a request that crashes model engines in the
+// middle of its streams and comes again through all gateways, and is never recognized since parts
+// of its streams arrive. Sound streams are served once it is.
+func TestRequestThatCrashesInMidStream(t *testing.T) {
+	is := is.New(t)
+	s, ctx := startProcesses(t, Options{
+		Seed:        7,
+		Controllers: 3,
+		Gateways:    3,
+		Upstreams:   6,
+		Network:     midStreamNetwork,
+	})
+	const (
+		target = "crashing"
+		events = 100
+	)
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(7, 45))
+	for _, u := range s.upstreams {
+		u.crashingTarget = target
+		u.crashAfter = func() time.Duration {
+			mu.Lock()
+			defer mu.Unlock()
+			return 350*time.Millisecond + time.Duration(random.Int64N(int64(600*time.Millisecond)))
+		}
+	}
+	calling, stopCalling := context.WithCancel(ctx)
+	defer stopCalling()
+	var group sync.WaitGroup
+	crashing := make(map[*Attempt]bool)
+	for i := range 9 + 3 {
+		c := &caller{
+			soak:    s,
+			gateway: i % len(s.fleet.gateways),
+			random:  rand.New(rand.NewPCG(7, uint64(i))),
+		}
+		if i >= 9 {
+			c.target = target
+		}
+		group.Go(func() {
+			c.chat(calling, func(a *Attempt) {
+				if c.target == "" {
+					return
+				}
+				a.Events = events
+				mu.Lock()
+				defer mu.Unlock()
+				crashing[a] = true
+			})
+		})
+	}
+	time.Sleep(15 * time.Second)
+	stopCalling()
+	group.Wait()
+	crashes := s.crashes()
+	is.True(len(crashes) >= 3)
+	bound := crashes[2].Add(crashGrace)
+	after := 0
+	for _, at := range crashes[3:] {
+		if at.After(bound) {
+			after++
+		}
+	}
+	s.ledger.mu.Lock()
+	defer s.ledger.mu.Unlock()
+	sound, served := 0, 0
+	for _, a := range s.ledger.attempts {
+		if crashing[a] || a.Sent.Before(bound) {
+			continue
+		}
+		sound++
+		if a.Status == http.StatusOK && a.Complete {
+			served++
+		}
+	}
+	t.Logf("%d crashes, %d after the bound; %d of %d sound requests served then", len(crashes), after, served, sound)
+	is.True(after <= maxReachedAfter)
+	is.True(10*served >= 9*sound)
+	is.Equal(s.ledger.violations, nil)
+}
+
 // releaseSegment finds the crashing segment in the list of quarantined ones and releases it, as
 // an operator does who has repaired the upstreams.
 func (s *Soak) releaseSegment(t *testing.T) {
--- a/bench/internal/soak/upstream.go
+++ b/bench/internal/soak/upstream.go
@@ -39,7 +39,9 @@
 	crashingSegment uint64
 	// crashingTarget, unless it is empty, is the target of requests that crash the upstream.
 	crashingTarget string
-	crashes        []time.Time
+	// crashAfter, unless it is nil, returns the time from the head of the answer to the crash.
+	crashAfter func() time.Duration
+	crashes    []time.Time
 	// rateLimit is the limit that the upstream states in its answers, in requests a second,
 	// or zero. Limited are the times at which requests arrived while it stated one.
 	rateLimit float64
@@ -316,9 +318,13 @@
 	platform.PeerHeaders{}.WriteReply(w.Header(), reply)
 	if u.isCrashedBy(r) {
 		_ = http.NewResponseController(w).Flush() // the connection may have ended
-		go u.crashByRequest()
-		<-r.Context().Done()
-		return
+		if u.crashAfter == nil || !a.Kind.stream() {
+			go u.crashByRequest()
+			<-r.Context().Done()
+			return
+		}
+		crash := time.AfterFunc(u.crashAfter(), u.crashByRequest)
+		defer crash.Stop()
 	}
 	if a.Kind.stream() {
 		u.writeStream(w, r, a, execution, number, fault == "spoil" && affected)
