--- a/fleet/dispatch/evidence.go
+++ b/fleet/dispatch/evidence.go
@@ -60,9 +60,6 @@
 // sharedSubjects returns the subjects that other requests may share.
 func (p *placedRequest) sharedSubjects() []quarantine.Subject { return subjects(p.prompt, 0) }
 
-// ownSubjects returns the request itself as a subject, if its digest is known.
-func (p *placedRequest) ownSubjects() []quarantine.Subject { return subjects(Prompt{}, p.digest) }
-
 // EvidenceCounts counts what became of the evidence against subjects.
 type EvidenceCounts struct {
 	// ClearedByAnswers is the number of subjects with evidence that complete answers cleared,
@@ -310,24 +307,6 @@
 	}
 }
 
-// outlasted reports whether an answer to the same request at an upstream that has not crashed
-// has lasted longer than this one, by soundAfter at least. It has passed the point at which
-// this one ended.
-func (s *Scheduler) outlasted(now time.Time, p *placedRequest) bool {
-	for _, other := range s.byDigest[p.digest] {
-		if other.age(now) >= p.age(now)+soundAfter && !other.engine.crashedSince(now, other.placedAt) {
-			return true
-		}
-	}
-	return false
-}
-
-// crashedSince reports whether a crash of the upstream was noticed within crashWindow and after
-// the given time.
-func (e *engine) crashedSince(now, since time.Time) bool {
-	return e.crash != 0 && now.Sub(e.crashedAt) <= crashWindow && !since.After(e.crashedAt)
-}
-
 // crashOf returns the identifier of the upstream's present crash.
 func (s *Scheduler) crashOf(now time.Time, e *engine) uint64 {
 	if e.crash == 0 || now.Sub(e.crashedAt) > crashWindow {
--- a/fleet/dispatch/mid_answer_crash_test.go
+++ b/fleet/dispatch/mid_answer_crash_test.go
@@ -159,8 +159,8 @@
 	return requested, refused
 }
 
-// requestTrial returns a model whose request with the digest 7 is quarantined after two
-// crashes, and the key of its trial, whose answer has lasted for longer than soundAfter.
+// requestTrial returns a model whose repeated request is quarantined after two crashes, and the
+// key of its trial, whose answer has lasted for longer than soundAfter.
 func requestTrial(t *testing.T) (*crashModel, Key) {
 	t.Helper()
 	is := is.New(t)
@@ -168,11 +168,11 @@
 	for i := range uint64(2) {
 		m.now = m.now.Add(time.Second)
 		m.scheduler.Quarantine().RecordCrash(m.now, m.now.Add(-time.Millisecond), i+1, []quarantine.Subject{{
-			ID:   7,
+			ID:   repeatedDigest,
 			Kind: quarantine.Request,
 		}})
 	}
-	d := placeDigest(m, 7)
+	d := placeRepeated(m)
 	is.True(d.Upstream != "")
 	key := Key{
 		Gateway: gateway,
@@ -184,11 +184,11 @@
 	return m, key
 }
 
-// placeDigest has a request with a digest placed.
-func placeDigest(m *crashModel, digest uint64) Decision {
+// placeRepeated has the request that comes again and again placed.
+func placeRepeated(m *crashModel) Decision {
 	q := m.chat()
 	m.nextID++
-	q.request.ID, q.request.Digest = m.nextID, digest
+	q.request.ID, q.request.Digest = m.nextID, repeatedDigest
 	return m.scheduler.Place(m.now, gateway, q.request)
 }
 
@@ -197,10 +197,10 @@
 func TestTrialThatCrashesInMidAnswerFails(t *testing.T) {
 	is := is.New(t)
 	m, key := requestTrial(t)
-	is.Equal(placeDigest(m, 7).Reason, Quarantined) // one at a time
+	is.Equal(placeRepeated(m).Reason, Quarantined) // one at a time
 	m.scheduler.RecordEnd(m.now, key, Crashed)
 	m.now = m.now.Add(2 * isolationWindow)
-	d := placeDigest(m, 7)
+	d := placeRepeated(m)
 	is.Equal(d.Reason, Quarantined)
 	is.Equal(d.RetryAfter, time.Duration(0)) // for good
 }
@@ -216,8 +216,8 @@
 	m, key = requestTrial(t)
 	m.scheduler.RecordEnd(m.now, key, CallerLeft)
 	is.Equal(m.scheduler.Quarantine().Quarantined(), 1)
-	is.True(placeDigest(m, 7).Upstream != "") // the next trial
-	is.Equal(placeDigest(m, 7).Reason, Quarantined)
+	is.True(placeRepeated(m).Upstream != "") // the next trial
+	is.Equal(placeRepeated(m).Reason, Quarantined)
 }
 
 // TestSegmentThatCrashesInMidAnswer guards against the same of requests that have a prompt
--- a/fleet/dispatch/placement.go
+++ b/fleet/dispatch/placement.go
@@ -1,9 +1,6 @@
 package dispatch
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // placedRequest is a request in flight at an upstream.
 type placedRequest struct {
@@ -99,9 +96,7 @@
 		team:               placement.Team,
 	}
 	s.placed[placement.Key] = p
-	if p.digest != 0 {
-		s.byDigest[p.digest] = append(s.byDigest[p.digest], p)
-	}
+	s.addDigest(p)
 	return p
 }
 
@@ -206,19 +201,6 @@
 	return p
 }
 
-// removeDigest takes a request off those with its digest.
-func (s *Scheduler) removeDigest(p *placedRequest) {
-	if p.digest == 0 {
-		return
-	}
-	same := slices.DeleteFunc(s.byDigest[p.digest], func(other *placedRequest) bool { return other == p })
-	if len(same) == 0 {
-		delete(s.byDigest, p.digest)
-		return
-	}
-	s.byDigest[p.digest] = same
-}
-
 // RecordEnd records the outcome of a request and removes it. An upstream that could not
 // be reached or lost its address is suspended at once; one that failed otherwise is
 // suspended after failuresToSuspend failures in a row, or after a single failed probe,
--- a/fleet/tcp/conn_test.go
+++ b/fleet/tcp/conn_test.go
@@ -52,11 +52,11 @@
 var resets = map[string]func(*net.TCPConn){
 	"closed with unread data": func(c *net.TCPConn) {
 		time.Sleep(20 * time.Millisecond) // until its receive buffer is full
-		c.Close()
+		_ = c.Close()
 	},
 	"aborted": func(c *net.TCPConn) {
 		_ = c.SetLinger(0)
-		c.Close()
+		_ = c.Close()
 	},
 }
 
@@ -125,7 +125,7 @@
 					_ = peer.CloseWrite()
 					if closes {
 						time.Sleep(time.Millisecond)
-						peer.Close()
+						_ = peer.Close()
 					}
 				}))
 				started := time.Now()
--- a/fleet/trace/step.go
+++ b/fleet/trace/step.go
@@ -177,9 +177,9 @@
 	// Status is the status of the upstream's answer; zero if there was none.
 	Status int
 	Cause  string
-	// RequestCause is why the request was not written completely although it was answered.
-	RequestCause string
-	Took         time.Duration
+	// RequestErr is why the request was not written completely although it was answered.
+	RequestErr error
+	Took       time.Duration
 	// LastEvent is the identifier of the last event of a stream that was forwarded to
 	// the caller.
 	LastEvent string
@@ -203,7 +203,9 @@
 	dst = append(appendText(dst, KeyCause, s.Cause), millis(KeyTook, s.Took), slog.String(KeyUpstream, s.Upstream),
 		slog.String(KeyRequest, request))
 	dst = appendText(dst, KeyUpstreamVersion, s.Version)
-	dst = appendText(dst, KeyRequestCause, s.RequestCause)
+	if s.RequestErr != nil {
+		dst = append(dst, slog.String(KeyRequestCause, s.RequestErr.Error()))
+	}
 	dst = appendText(dst, KeyLastEvent, s.LastEvent)
 	switch {
 	case s.RateLimit.Stated:
--- a/gateway/internal/serve/reset_test.go
+++ b/gateway/internal/serve/reset_test.go
@@ -128,7 +128,7 @@
 	case byAbort:
 		_ = c.SetLinger(0)
 	}
-	c.Close()
+	_ = c.Close()
 }
 
 // startEarly starts an upstream that answers each request with what next returns, and returns
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -317,15 +317,11 @@
 		h.scheduler.ReportOutcome(d.ID, r.reported)
 		return r.outcome
 	}
-	forwardBody := x.forwardBuffered
+	defer func() { step.RequestErr = answer.RequestErr() }()
 	if x.route.Kind == configuration.Stream && answer.Status < http.StatusMultipleChoices {
-		forwardBody = x.forwardEvents
+		return x.forward(d.ID, destination.Address, answer, x.forwardEvents)
 	}
-	result := x.forward(d.ID, destination.Address, answer, forwardBody)
-	if err := answer.RequestErr(); err != nil {
-		step.RequestCause = err.Error()
-	}
-	return result
+	return x.forward(d.ID, destination.Address, answer, x.forwardBuffered)
 }
 
 // upstreamRequest returns the request to the upstream with the given identifier. A
