--- a/fleet/quarantine/doc.go
+++ b/fleet/quarantine/doc.go
@@ -8,8 +8,11 @@
 // requests of the upstream, most of which are sound. The evidence against a subject is a
 // sequence of rounds: crashes of upstreams with an unanswered request that has the subject,
 // each request sent after the crash of the round before. Upstreams that crash at the same
-// time are one round. An answer to a request that has the subject clears it. So a popular
-// one is cleared by other requests within moments of an unrelated crash.
+// time are one round. A complete answer to a request that has the subject clears it, and so does
+// a part of an answer if it is a segment, unless upstreams crashed in the middle of answers to
+// requests with it. So a popular one is cleared by other requests within moments of an
+// unrelated crash. The caller decides which crashes are evidence: one in the middle of an answer
+// is against the request itself, and against segments that lack complete answers.
 //
 // After restrictRounds rounds a subject is quarantined: its requests are refused, but for
 // one trial at a time, sent to an upstream with few other requests, after waits that grow
