controller: versions of a list that comes before the first link are recorded

Cause: a list of upstreams with a new software version asks the keeper of origins to record the version before the list is published. Hub.open replaced the keeper at the first link of gateways, so that the version was never proposed if both events were handled together, and a proposal under way was forgotten. The gateway got no list until the next poll; nobody polls in the test.

Change: the first link refreshes the keeper's copy of the replicated history and keeps what waits to be recorded. The copy is as new as before: a majority has confirmed the term.

--- a/controller/internal/gateway/hub.go
+++ b/controller/internal/gateway/hub.go
@@ -260,7 +260,7 @@
 	if len(h.conns) == 0 {
 		h.servingSince = time.Now()
 		h.loadQuarantine()
-		h.loadOrigins()
+		h.refreshOrigins()
 	}
 	if old := h.conns[c.name]; old != nil {
 		old.Close()
--- a/controller/internal/gateway/origins.go
+++ b/controller/internal/gateway/origins.go
@@ -56,6 +56,16 @@
 	h.viewHistory(func(history *origin.History) { h.origins = origin.NewKeeper(time.Now(), history) })
 }
 
+// refreshOrigins reads the replicated history again, after a majority has confirmed the term.
+// What waits to be recorded is kept: a list may have come before the first link.
+func (h *Hub) refreshOrigins() {
+	if h.origins == nil {
+		h.loadOrigins()
+		return
+	}
+	h.viewHistory(h.origins.Refresh)
+}
+
 // publishable returns the listed upstreams whose software versions are in the replicated
 // history. The versions of the others are added to it.
 func (h *Hub) publishable(now time.Time) []dispatch.Upstream {
--- a/controller/internal/gateway/term_test.go
+++ b/controller/internal/gateway/term_test.go
@@ -40,6 +40,7 @@
 type termHub struct {
 	*Hub
 	t        *testing.T
+	ctx      context.Context
 	folder   string
 	replicas *replacedReplica
 	stop     func()
@@ -49,6 +50,15 @@
 
 // newTermHub returns a hub that runs and whose replica leads.
 func newTermHub(t *testing.T) *termHub {
+	t.Helper()
+	h := newQueuedTermHub(t)
+	go h.Run(h.ctx)
+	return h
+}
+
+// newQueuedTermHub returns a hub whose replica leads and whose events are queued until Run
+// is called.
+func newQueuedTermHub(t *testing.T) *termHub {
 	t.Helper()
 	is := is.New(t)
 	folder := t.TempDir()
@@ -83,10 +93,10 @@
 	h.Hub = New(h.replicas, h.replicas, telemetry.NewMetrics(), slog.New(slog.DiscardHandler))
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
+	h.ctx = ctx
 	server := httptest.NewServer(h.Handler(ctx, h.dialer))
 	t.Cleanup(server.Close)
 	h.address = strings.TrimPrefix(server.URL, "http://")
-	go h.Run(ctx)
 	return h
 }
 
@@ -224,6 +234,20 @@
 	is.Equal(list["present"].ID, "present")
 }
 
+// TestListBeforeTheFirstLink guards against a list of upstreams that isn't published until it
+// is read again: it comes just before the first link of a term, with a software version that
+// isn't recorded yet.
+func TestListBeforeTheFirstLink(t *testing.T) {
+	h := newQueuedTermHub(t)
+	h.SetUpstreams(t.Context(), h.Term(), listOf("u1"))
+	g := h.dialGateway()
+	for len(h.events) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	go h.Run(h.ctx)
+	g.await("list", hasList)
+}
+
 // TestListOfAnEarlierTermIsDropped guards against a list of upstreams that was read before
 // leadership was lost and arrives in the next term: another leader may have published a
 // newer one in between.
--- a/fleet/origin/keeper.go
+++ b/fleet/origin/keeper.go
@@ -66,6 +66,14 @@
 	k.complete = history.Complete
 }
 
+// Refresh copies the versions of the history, unless a change is under way: Done copies them
+// at its end.
+func (k *Keeper) Refresh(history *History) {
+	if !k.proposed {
+		k.Load(history)
+	}
+}
+
 // Versions returns the number of versions of a service in the history.
 func (k *Keeper) Versions(service string) int { return len(k.versions[service]) }
 
