quarantine: evidence against a request follows it to another service

Cause: the request's digest covered the service. Both gateways logged one digest before the change and another one after it, and the leader quarantined both.

Change: the digest leaves the service out. The register notes at which services engines crashed with a request; an answer of one service leaves what is known from others against the request at those, so that a split route doesn't clear it.

Tests: TestDigestOutlastsMoveOfRoute failed before.

--- a/controller/internal/gateway/quarantine.go
+++ b/controller/internal/gateway/quarantine.go
@@ -74,6 +74,7 @@
 			Subject: quarantine.Subject{
 				ID:   id,
 				Kind: q.Kind,
+				Of:   q.Of,
 			},
 			Rounds:     q.Rounds,
 			Crashes:    q.Crashes,
@@ -81,6 +82,7 @@
 			MidAnswer:  q.MidAnswer,
 			TrialIn:    quarantine.TrialWait(q.Rounds),
 			Companions: q.Companions,
+			Services:   q.Services,
 		})
 	}
 	register.Merge(now, added)
@@ -137,6 +139,8 @@
 			LateTrials: record.LateTrials,
 			MidAnswer:  record.MidAnswer,
 			Companions: record.Companions,
+			Of:         record.Of,
+			Services:   record.Services,
 		})
 	}
 	for id := range h.recorded.subjects {
--- a/controller/internal/operator/quarantine.go
+++ b/controller/internal/operator/quarantine.go
@@ -16,7 +16,9 @@
 	// Kind is "segment" or "request".
 	Kind string `json:"kind"`
 	// ID is the segment's identifier or the request's digest, in hexadecimal.
-	ID      string    `json:"segment"`
+	ID string `json:"segment"`
+	// Of is the digest of the request if it is refused at one service only.
+	Of      string    `json:"of,omitempty"`
 	Rounds  int       `json:"rounds"`
 	Crashes int       `json:"crashes"`
 	Since   time.Time `json:"since"`
@@ -38,13 +40,17 @@
 	}
 	current.View(func(s *state.State) {
 		for _, q := range s.QuarantineList() {
-			out.Items = append(out.Items, QuarantinedSubject{
+			item := QuarantinedSubject{
 				Kind:    q.Kind.String(),
 				ID:      strconv.FormatUint(q.ID, 16),
 				Rounds:  q.Rounds,
 				Crashes: q.Crashes,
 				Since:   q.Since,
-			})
+			}
+			if q.Of != 0 {
+				item.Of = strconv.FormatUint(q.Of, 16)
+			}
+			out.Items = append(out.Items, item)
 		}
 	})
 	writeJSON(w, out)
--- a/fleet/dispatch/evidence.go
+++ b/fleet/dispatch/evidence.go
@@ -37,28 +37,32 @@
 
 // subjects returns what evidence from a request is held against: the segments that other
 // requests may share, and the request itself, which may come again, if its digest is known.
-func subjects(p Prompt, digest uint64) []quarantine.Subject {
+// Service is that of the request, or empty if it is not known.
+func subjects(p Prompt, digest uint64, service string) []quarantine.Subject {
 	shared := p.Shared()
-	out := make([]quarantine.Subject, 0, len(shared)+1)
+	out := make([]quarantine.Subject, 0, len(shared)+2)
 	for _, segment := range shared {
 		out = append(out, quarantine.Subject{
 			ID: segment.ID,
 		})
 	}
-	if digest != 0 {
-		out = append(out, quarantine.Subject{
-			ID:   digest,
-			Kind: quarantine.Request,
-		})
+	if digest == 0 {
+		return out
 	}
-	return out
+	id := uint64(0)
+	if service != "" {
+		id = quarantine.ServiceID(service)
+	}
+	return append(out, quarantine.RequestSubjects(digest, id)...)
 }
 
 // subjects returns what evidence from the request is held against.
-func (p *placedRequest) subjects() []quarantine.Subject { return subjects(p.prompt, p.digest) }
+func (p *placedRequest) subjects() []quarantine.Subject {
+	return subjects(p.prompt, p.digest, p.engine.Service)
+}
 
 // sharedSubjects returns the subjects that other requests may share.
-func (p *placedRequest) sharedSubjects() []quarantine.Subject { return subjects(p.prompt, 0) }
+func (p *placedRequest) sharedSubjects() []quarantine.Subject { return subjects(p.prompt, 0, "") }
 
 // EvidenceCounts counts what became of the evidence against subjects.
 type EvidenceCounts struct {
@@ -94,7 +98,7 @@
 	if s.quarantine.Quarantined() == 0 {
 		return quarantine.Allow, quarantine.Record{}
 	}
-	verdict, record := s.quarantine.Check(now, subjects(r.Prompt, r.Digest))
+	verdict, record := s.quarantine.Check(now, subjects(r.Prompt, r.Digest, r.Service))
 	if verdict == quarantine.Trial && !s.settings.Trials {
 		verdict = quarantine.Defer
 	}
--- a/fleet/dispatch/request_crash_model_test.go
+++ b/fleet/dispatch/request_crash_model_test.go
@@ -35,14 +35,26 @@
 	scheduler *Scheduler
 	random    *rand.Rand
 	upstreams int
-	crashing  map[uint64]bool // digests of requests that crash upstreams
-	downTill  map[string]time.Time
-	starts    map[string]int
-	inFlight  map[string][]*plainRequest
-	nextID    uint64
-	crashes   map[uint64][]time.Time // by the digest of the request
-	reached   map[uint64][]time.Time // the same, arrivals at running upstreams
-	requests  []*plainRequest
+	// others are the last of the upstreams, which serve another service. With soundAtPlain
+	// they are the only ones that requests crash.
+	others       int
+	soundAtPlain bool
+	crashing     map[uint64]bool // digests of requests that crash upstreams
+	downTill     map[string]time.Time
+	starts       map[string]int
+	inFlight     map[string][]*plainRequest
+	nextID       uint64
+	crashes      map[uint64][]time.Time // by the digest of the request
+	reached      map[uint64][]time.Time // the same, arrivals at running upstreams
+	requests     []*plainRequest
+}
+
+// newTwoServiceModel returns a model with upstreams of a second service.
+func newTwoServiceModel(seed uint64, upstreams, others int, crashing ...uint64) *plainModel {
+	m := newPlainModel(seed, upstreams, crashing...)
+	m.others = others
+	m.scheduler = m.newScheduler()
+	return m
 }
 
 func newPlainModel(seed uint64, upstreams int, crashing ...uint64) *plainModel {
@@ -74,6 +86,9 @@
 	list := upstreams(m.upstreams)
 	for i := range list {
 		list[i].Service, list[i].Slots = "plain", 6
+		if i >= m.upstreams-m.others {
+			list[i].Service = "other"
+		}
 	}
 	s.SetUpstreams(list)
 	return s
@@ -90,17 +105,20 @@
 }
 
 // send has a new request placed.
-func (m *plainModel) send(digest uint64, safe bool) {
+func (m *plainModel) send(digest uint64, safe bool) { m.sendTo("plain", digest, safe) }
+
+// sendTo has a new request placed at a service.
+func (m *plainModel) sendTo(service string, digest uint64, safe bool) {
 	q := &plainRequest{
 		request: Request{
-			Service:    "plain",
+			Service:    service,
 			Zone:       zoneA,
 			Digest:     digest,
 			Objective:  100 * time.Millisecond,
 			Idempotent: safe,
 		},
 		safe:     safe,
-		crashing: m.crashing[digest],
+		crashing: m.crashing[digest] && (service != "plain" || !m.soundAtPlain),
 	}
 	m.requests = append(m.requests, q)
 	m.submit(q)
--- a/fleet/dispatch/same_digest.go
+++ b/fleet/dispatch/same_digest.go
@@ -25,12 +25,12 @@
 	s.byDigest[p.digest] = same
 }
 
-// outlasted reports whether an answer to the same request at an upstream that has not crashed
-// has lasted longer than this one, by soundAfter at least. It has passed the point at which
-// this one ended.
+// outlasted reports whether an answer to the same request at an upstream of the same service
+// that has not crashed has lasted longer than this one, by soundAfter at least. It has passed
+// the point at which this one ended.
 func (s *Scheduler) outlasted(now time.Time, p *placedRequest) bool {
 	for _, other := range s.byDigest[p.digest] {
-		if other.age(now) >= p.age(now)+soundAfter && !other.engine.crashedSince(now, other.placedAt) {
+		if other.engine.Service == p.engine.Service && other.age(now) >= p.age(now)+soundAfter && !other.engine.crashedSince(now, other.placedAt) {
 			return true
 		}
 	}
--- a/fleet/quarantine/entry.go
+++ b/fleet/quarantine/entry.go
@@ -1,16 +1,23 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // entry is the evidence against one subject.
 type entry struct {
-	kind       Kind
+	kind Kind
+	// of is Subject.Of.
+	of         uint64
 	rounds     int
 	crashes    int
 	lateTrials int
 	// midAnswer reports whether a crash in the middle of an answer counts against the subject.
 	// Only a complete answer clears it then.
 	midAnswer bool
+	// services are those at which engines crashed with a request, at most maxServices.
+	services []uint64
 	// lastRound is the time of the last round's crash, and graceUntil the time before which
 	// the subject is not quarantined.
 	lastRound  time.Time
@@ -25,6 +32,8 @@
 	// in flight.
 	trialAt  time.Time
 	trialing bool
+	// trialService is the service of the last trial of a request, or zero.
+	trialService uint64
 	// abortedUntil is the time before which no trial starts that distinguishes the subject
 	// from others, since the end of the last one is not known.
 	abortedUntil time.Time
@@ -32,6 +41,17 @@
 	lastRequest time.Time
 }
 
+// addService adds the service of a crash.
+func (e *entry) addService(service uint64) {
+	if service == 0 || slices.Contains(e.services, service) {
+		return
+	}
+	if len(e.services) == maxServices {
+		e.services = e.services[1:]
+	}
+	e.services = append(slices.Clip(e.services), service)
+}
+
 func (e *entry) quarantined() bool { return e.rounds >= restrictRounds }
 
 // record returns a subject's entry as it is reported.
@@ -40,6 +60,7 @@
 		Subject: Subject{
 			ID:   id,
 			Kind: e.kind,
+			Of:   e.of,
 		},
 		Rounds:     e.rounds,
 		Crashes:    e.crashes,
@@ -48,6 +69,7 @@
 		SinceCrash: max(now.Sub(e.lastRound), 0),
 		TrialIn:    max(e.trialAt.Sub(now), 0),
 		Companions: r.companionsOf(id, e),
+		Services:   e.services,
 	}
 }
 
--- a/fleet/quarantine/merge.go
+++ b/fleet/quarantine/merge.go
@@ -60,6 +60,9 @@
 	e.crashes = max(e.crashes, record.Crashes)
 	e.lateTrials = max(e.lateTrials, record.LateTrials)
 	e.midAnswer = e.midAnswer || record.MidAnswer
+	for _, service := range record.Services {
+		e.addService(service)
+	}
 	if crashedAt.After(e.lastRound) {
 		e.lastRound = crashedAt
 	}
--- a/fleet/quarantine/record.go
+++ b/fleet/quarantine/record.go
@@ -14,6 +14,8 @@
 	// MidAnswer reports whether engines crashed in the middle of answers to requests that held
 	// the subject.
 	MidAnswer bool `cbor:"10,keyasint,omitempty"`
+	// Services are those at which engines crashed with a request, at most maxServices.
+	Services []uint64 `cbor:"11,keyasint,omitempty"`
 	// SinceCrash is the time since the last crash, and TrialIn the time until the next
 	// trial may start; both count from when the record is sent.
 	SinceCrash time.Duration `cbor:"5,keyasint,omitempty"`
--- a/fleet/quarantine/register.go
+++ b/fleet/quarantine/register.go
@@ -45,6 +45,8 @@
 	maxReleased    = 1024
 	// maxCompanions is the number of companions in a record.
 	maxCompanions = 8
+	// maxServices is the number of last services in an entry of a request.
+	maxServices = 4
 	// maxCrashSets is the number of crashes whose subjects are kept.
 	maxCrashSets = 256
 	// rememberedCrashes is the number of last crashes that an entry holds, to count each once.
@@ -143,10 +145,14 @@
 	for _, subject := range subjects {
 		e := r.entries[subject.ID]
 		if e == nil {
+			if subject.Of != 0 {
+				continue // the request as such has evidence against it
+			}
 			if e = r.add(now, subject); e == nil {
 				continue
 			}
 		}
+		e.addService(subject.Service)
 		if !slices.Contains(e.recent[:], crash) {
 			e.recent[e.next] = crash
 			e.next = (e.next + 1) % rememberedCrashes
@@ -193,9 +199,10 @@
 	}
 	e := &entry{
 		kind:        subject.Kind,
+		of:          subject.Of,
 		lastRequest: now,
 	}
-	if at, ok := r.answered[subject.Kind].last[subject.ID]; ok && now.Sub(at) <= answerMemory {
+	if at, ok := r.answered[subject.Kind].last[subject.answeredID()]; ok && now.Sub(at) <= answerMemory {
 		e.graceUntil = now.Add(answeredGrace)
 	}
 	r.entries[subject.ID] = e
@@ -237,11 +244,17 @@
 
 // clear clears a subject and returns 1 if there was evidence against it, and 0 otherwise.
 func (r *Register) clear(now time.Time, subject Subject) int {
-	r.answered[subject.Kind].remember(now, subject.ID)
-	if !r.IsSuspect(subject) {
+	if subject.Of == 0 {
+		r.answered[subject.Kind].remember(now, subject.answeredID())
+	}
+	e := r.entries[subject.ID]
+	if e == nil {
 		return 0
 	}
 	r.remove(now, subject.ID, Answered)
+	if subject.Service != 0 {
+		r.keepAtServices(now, subject, e)
+	}
 	return 1
 }
 
@@ -251,8 +264,19 @@
 	return r.completed.lacks(now, segment.ID)
 }
 
-// Release releases a subject at an operator's request.
-func (r *Register) Release(now time.Time, id uint64) { r.remove(now, id, ByOperator) }
+// Release releases a subject at an operator's request, and a request at single services as
+// well.
+func (r *Register) Release(now time.Time, id uint64) {
+	if r.entries[id] == nil {
+		return
+	}
+	r.remove(now, id, ByOperator)
+	for other, e := range r.entries {
+		if e.of == id {
+			r.remove(now, other, ByOperator)
+		}
+	}
+}
 
 // remove forgets a subject.
 func (r *Register) remove(now time.Time, id uint64, cause Cause) {
@@ -270,6 +294,7 @@
 		Subject: Subject{
 			ID:   id,
 			Kind: e.kind,
+			Of:   e.of,
 		},
 		Released: true,
 	}, cause)
--- a/fleet/quarantine/separation.go
+++ b/fleet/quarantine/separation.go
@@ -43,7 +43,8 @@
 }
 
 // companionsOf returns the other quarantined subjects that were at all crashes which count
-// against a subject, at most maxCompanions.
+// against a subject, at most maxCompanions. Requests at one service are none: a request at
+// another service is no sign that they crash engines by themselves.
 func (r *Register) companionsOf(id uint64, e *entry) []uint64 {
 	candidates := e.companions
 	if last := r.crashSets[e.recent[(e.next+rememberedCrashes-1)%rememberedCrashes]]; last != nil {
@@ -51,7 +52,7 @@
 	}
 	var out []uint64
 	for _, other := range candidates {
-		if q := r.entries[other]; other != id && q != nil && q.quarantined() && r.inseparable(e, other) && len(out) < maxCompanions {
+		if q := r.entries[other]; other != id && q != nil && q.of == 0 && q.quarantined() && r.inseparable(e, other) && len(out) < maxCompanions {
 			out = append(out, other)
 		}
 	}
--- a/fleet/quarantine/verdict.go
+++ b/fleet/quarantine/verdict.go
@@ -27,7 +27,7 @@
 			continue
 		}
 		e.lastRequest = now
-		if v := r.check(now, subject.ID, e, subjects); v > verdict || v == verdict && e.rounds > decisive.Rounds {
+		if v := r.check(now, subject, e, subjects); v > verdict || v == verdict && e.rounds > decisive.Rounds {
 			verdict, decisive = v, r.record(now, subject.ID, e)
 		}
 	}
@@ -35,8 +35,8 @@
 }
 
 // check returns the verdict on a request because of one of its subjects.
-func (r *Register) check(now time.Time, id uint64, e *entry, subjects []Subject) Verdict {
-	if r.separates(id, e, subjects) {
+func (r *Register) check(now time.Time, subject Subject, e *entry, subjects []Subject) Verdict {
+	if r.separates(subject.ID, e, subjects) || r.answeredAtService(now, subject, e) {
 		if e.trialing || now.Before(e.abortedUntil) {
 			return Defer
 		}
@@ -59,8 +59,8 @@
 		if e == nil || !e.quarantined() {
 			continue
 		}
-		e.trialing = true
-		if e.crashes >= e.kind.lateCrashes() && e.rounds >= finalRounds && !r.separates(subject.ID, e, subjects) {
+		e.trialing, e.trialService = true, subject.Service
+		if e.crashes >= e.kind.lateCrashes() && e.rounds >= finalRounds && !r.separates(subject.ID, e, subjects) && !r.answeredAtService(now, subject, e) {
 			e.lateTrials++
 			r.change(r.record(now, subject.ID, e), Tried)
 		}
--- a/fleet/state/quarantine.go
+++ b/fleet/state/quarantine.go
@@ -19,6 +19,10 @@
 	LateTrials int             `json:"late_trials"`
 	// MidAnswer reports whether upstreams crashed in the middle of answers.
 	MidAnswer bool `json:"mid_answer,omitempty"`
+	// Of is the digest of the request if the subject is a request at one service only.
+	Of uint64 `json:"of,omitempty"`
+	// Services identify the services at which upstreams crashed with a request.
+	Services []uint64 `json:"services,omitempty"`
 	// Companions are other quarantined subjects that were at all of the crashes.
 	Companions []uint64 `json:"companions,omitempty"`
 	// Since is the leader's clock when the subject was first recorded.
--- a/gateway/internal/serve/digest.go
+++ b/gateway/internal/serve/digest.go
@@ -6,12 +6,12 @@
 	"hash"
 )
 
-// requestDigest returns the digest by which requests with the same service, method, target,
-// team and body are recognized at all gateways. It is the beginning of their SHA-256 and
-// never zero.
-func requestDigest(service, method, target, team string, body []byte) uint64 {
+// requestDigest returns the digest by which requests with the same method, target, team and
+// body are recognized at all gateways, whichever service their route leads to. It is the
+// beginning of their SHA-256 and never zero.
+func requestDigest(method, target, team string, body []byte) uint64 {
 	h := sha256.New()
-	for _, field := range []string{service, method, target, team} {
+	for _, field := range []string{method, target, team} {
 		writeField(h, []byte(field))
 	}
 	writeField(h, body)
@@ -30,7 +30,7 @@
 // digest returns the digest of the request, which is computed once.
 func (x *exchange) digest() uint64 {
 	if x.requestDigest == 0 {
-		x.requestDigest = requestDigest(x.service, x.r.Method, requestTarget(x.r), x.team, x.body)
+		x.requestDigest = requestDigest(x.r.Method, requestTarget(x.r), x.team, x.body)
 	}
 	return x.requestDigest
 }
