membership: the seeds with a disk found the group together

Cause: the seed with the lowest address alone selected one founder, which was the only voter until the others were promoted, and each controller kept the first founder it had heard of.

Change: the selection names a replica at each seed with a disk, and each starts the log with all of them as voters; another seed selects if the lower ones are silent. All selections have majorities in common, so that one group forms at most; members of one that didn't form erase their folders and join.

--- a/controller/internal/peer/gossip.go
+++ b/controller/internal/peer/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -39,8 +40,9 @@
 		credential: c,
 		http:       c.Client(),
 		log:        log,
-		core:       membership.New(self, seeds, 2*toleratedHosts+1, time.Now()),
-		inFlight:   make(map[string]bool),
+		core: membership.New(self, seeds, 2*toleratedHosts+1,
+			rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), time.Now()),
+		inFlight: make(map[string]bool),
 	}
 }
 
@@ -204,7 +206,6 @@
 	return &rpc.HelloReply{
 		Self:         encodeController(g.Self),
 		Known:        encodeControllers(g.Peers),
-		Founder:      g.Founder,
 		Members:      members,
 		MembersIndex: g.Group.Index,
 		Leader:       g.Group.Leader,
@@ -219,9 +220,8 @@
 		return membership.Gossip{}, merry.Prepend(err, "decode the members of a hello reply")
 	}
 	return membership.Gossip{
-		Self:    decodeController(r.GetSelf()),
-		Peers:   decodeControllers(r.GetKnown()),
-		Founder: r.GetFounder(),
+		Self:  decodeController(r.GetSelf()),
+		Peers: decodeControllers(r.GetKnown()),
 		Group: membership.Group{
 			Members:    members,
 			Index:      r.GetMembersIndex(),
--- a/controller/internal/peer/member.go
+++ b/controller/internal/peer/member.go
@@ -151,7 +151,7 @@
 	select {
 	case <-removed:
 		m.stops.noteStop(r.Status(), causeRemoved, started, time.Now())
-		m.log.Info("replica was removed from the group, its data folder is erased", "replica", id)
+		m.log.Info("replica was removed from the group or has no group, its data folder is erased", "replica", id)
 		m.peers.withCore(func(c *membership.Core) { c.SetReplica(0) })
 		return disk.Erase(m.folder)
 	default:
@@ -165,11 +165,13 @@
 // controller whose disk was lost thus joins under a new replica identifier.
 func (m *Member) prepareFolder() error {
 	step := membership.Wait
-	self := ""
+	var members raft.Members
+	id := uint64(0)
 	m.peers.withCore(func(c *membership.Core) {
 		c.SetReplica(0)
-		step = c.Next()
-		self = c.Gossip().Self.Address
+		if step = c.Next(); step == membership.Bootstrap {
+			members, id = c.Founding()
+		}
 	})
 	if step == membership.Wait {
 		m.logWait()
@@ -180,18 +182,11 @@
 		return err
 	}
 	if step == membership.Bootstrap {
-		identity.Members = &raft.Members{
-			List: []raft.Member{
-				{
-					ID:      identity.ReplicaID,
-					Address: self,
-					Voter:   true,
-				},
-			},
-		}
+		identity.ReplicaID = id
+		identity.Members = &members
 	}
 	m.waitPace.Reset()
-	m.log.Info("data folder prepared", "replica", identity.ReplicaID, "founds", step == membership.Bootstrap)
+	m.log.Info("data folder prepared", "replica", identity.ReplicaID, "founds", step == membership.Bootstrap, "voters", members.Voters())
 	return disk.Init(m.folder, identity)
 }
 
@@ -201,7 +196,7 @@
 		return
 	}
 	gossip := m.peers.Gossip()
-	m.log.Info("data folder is empty and no group is known yet", "founder", gossip.Founder,
+	m.log.Info("data folder is empty and no group is known yet", "founding", len(gossip.Group.Members.List),
 		"first_start", gossip.Self.FirstStart, "peers", len(gossip.Peers))
 }
 
--- a/fleet/membership/core.go
+++ b/fleet/membership/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -10,16 +11,19 @@
 
 // Intervals of gossip and expiry.
 const (
-	// founderSelectionDelay is how long the seed that selects the founder
+	// founderSelectionDelay is how long the seed that selects the founding members
 	// collects peers first. Controllers start within a third of a second of each
 	// other.
 	founderSelectionDelay = 900 * time.Millisecond
-	// silentSeedDelay is how long the founder is not selected while a seed has not
+	// silentSeedDelay is how long the founding members are not selected while a seed has not
 	// answered: it may know of a group. After that a majority of the seeds is enough.
 	silentSeedDelay = 5 * time.Second
-	// fewDisksDelay is how long the founder is not selected while fewer controllers with an
+	// fewDisksDelay is how long the founding members are not selected while fewer controllers with an
 	// empty disk are known than the group needs: the others may hold replicas.
 	fewDisksDelay = 10 * time.Second
+	// seedContactTime is how long another seed doesn't select the founding members after the
+	// last contact with one that would.
+	seedContactTime = 2 * time.Second
 	// joiningGossipInterval and steadyGossipInterval are the times between
 	// rounds of gossip before and after this controller knows the group and,
 	// if it has a disk, is a member.
@@ -61,10 +65,8 @@
 type Gossip struct {
 	Self  Controller
 	Peers []Controller
-	// Founder is the address of the controller that bootstraps the group, or ""
-	// before it is selected.
-	Founder string
-	Group   Group
+	// Group has no members before they are known, and index zero while they are to found it.
+	Group Group
 }
 
 // Step is the next action of a controller without a replica.
@@ -74,8 +76,7 @@
 const (
 	// Wait means that too little is known yet.
 	Wait Step = iota
-	// Bootstrap means creating the group with this controller as its only
-	// member.
+	// Bootstrap means creating the group as one of the members that Founding returns.
 	Bootstrap
 	// Join means asking the leader to be added as a learner.
 	Join
@@ -91,30 +92,42 @@
 // Core is one controller's view of its peers and of the group. It is not safe for
 // concurrent use.
 type Core struct {
-	self      Controller
-	examined  bool // it is known whether the data folder holds a replica
-	seeds     []string
-	voters    int // of a group that tolerates what it should
-	peers     map[string]peerRecord
-	expired   map[string]time.Time // when peers were removed for lack of contact
-	founder   string
-	group     Group
+	self     Controller
+	examined bool // it is known whether the data folder holds a replica
+	// hadReplica reports whether this controller has had a replica since it started.
+	hadReplica bool
+	seeds      []string
+	firstSeeds []string // the seeds at the start
+	voters     int      // of a group that tolerates what it should
+	random     *rand.Rand
+	peers      map[string]peerRecord
+	expired    map[string]time.Time // when peers were removed for lack of contact
+	// founding are the members that found the group; empty before they are selected.
+	founding raft.Members
+	group    Group
+	// ownGroup identifies the group that this controller founds since it started, and ownLed
+	// reports whether its replica has known a leader.
+	ownGroup  uint64
+	ownLed    bool
 	started   time.Time
 	gossipDue time.Time
 }
 
 // New returns the core of a controller that starts now. seeds are the addresses
 // of controllers, and may include its own. voters is the number of voters that a group
-// needs for what it tolerates.
-func New(self Controller, seeds []string, voters int, now time.Time) *Core {
+// needs for what it tolerates. Random draws the identifiers of the replicas that found the
+// group.
+func New(self Controller, seeds []string, voters int, random *rand.Rand, now time.Time) *Core {
 	return &Core{
-		self:      self,
-		seeds:     slices.Clone(seeds),
-		voters:    voters,
-		peers:     make(map[string]peerRecord),
-		expired:   make(map[string]time.Time),
-		started:   now,
-		gossipDue: now,
+		self:       self,
+		seeds:      slices.Clone(seeds),
+		firstSeeds: slices.Clone(seeds),
+		voters:     voters,
+		random:     random,
+		peers:      make(map[string]peerRecord),
+		expired:    make(map[string]time.Time),
+		started:    now,
+		gossipDue:  now,
 	}
 }
 
@@ -126,12 +139,20 @@
 func (c *Core) SetReplica(id uint64) {
 	c.self.ReplicaID = id
 	c.examined = true
+	c.hadReplica = c.hadReplica || id != 0
+	if id == 0 {
+		c.ownGroup, c.ownLed = 0, false
+	}
 }
 
 // SetGroup updates the group from this controller's own replica. Members with a lower
 // index are ignored, as is a leader of a lower term, and a known leader is kept if g has
 // none.
 func (c *Core) SetGroup(g Group) {
+	c.ownLed = c.ownLed || g.Leader != ""
+	if c.stranded() {
+		return
+	}
 	if g.Index >= c.group.Index {
 		c.group.Members = g.Members
 		c.group.Index = g.Index
@@ -149,15 +170,25 @@
 	}
 }
 
+// groupKnown reports whether a group is known that has been founded. At the first start it has
+// been once it has had a leader.
+func (c *Core) groupKnown() bool {
+	return len(c.group.Members.List) > 0 && (!c.self.FirstStart || c.group.Leader != "")
+}
+
 // Group returns the newest known view of the replicated group.
 func (c *Core) Group() Group { return c.group }
 
 // Gossip returns the message to send to peers.
 func (c *Core) Gossip() Gossip {
 	g := Gossip{
-		Self:    c.stated(),
-		Founder: c.founder,
-		Group:   c.group,
+		Self:  c.stated(),
+		Group: c.group,
+	}
+	if !c.groupKnown() {
+		g.Group = Group{
+			Members: c.founding,
+		}
 	}
 	for _, address := range slices.Sorted(maps.Keys(c.peers)) {
 		g.Peers = append(g.Peers, c.peers[address].Controller)
@@ -173,17 +204,17 @@
 }
 
 // Merge updates the view from a peer's gossip, and records contact with its
-// sender. The first founder heard of is kept; of two views of the members, the one with
-// the higher index; of two leaders, the one with the higher term.
+// sender. The first founding members heard of are kept; of two views of the members, the one
+// with the higher index; of two leaders, the one with the higher term.
 func (c *Core) Merge(now time.Time, g Gossip) {
 	c.recordPeer(now, g.Self, true)
 	for _, k := range g.Peers {
 		c.recordPeer(now, k, false)
 	}
-	if c.founder == "" {
-		c.founder = g.Founder
+	if g.Group.Index == 0 && len(c.founding.List) == 0 {
+		c.founding = g.Group.Members
 	}
-	if g.Group.Index > c.group.Index {
+	if g.Group.Index > c.group.Index || g.Group.Leader != "" && !c.groupKnown() {
 		c.group.Members = g.Group.Members
 		c.group.Index = g.Group.Index
 	}
@@ -215,7 +246,7 @@
 
 // GossipTargets returns the addresses to exchange gossip with now: seeds, peers
 // and members. It returns nil before the gossip interval has passed. Each round
-// also expires peers and selects the founder, if that is due.
+// also expires peers and selects the founding members, if that is due.
 func (c *Core) GossipTargets(now time.Time) []string {
 	if now.Before(c.gossipDue) {
 		return nil
@@ -226,7 +257,7 @@
 	}
 	c.gossipDue = now.Add(interval)
 	c.expirePeers(now)
-	c.selectFounder(now)
+	c.selectFounding(now)
 	targets := make(map[string]bool)
 	for _, s := range c.seeds {
 		targets[s] = true
@@ -247,7 +278,7 @@
 // settled reports whether this controller knows the group and, if it has a disk,
 // is a member of it.
 func (c *Core) settled() bool {
-	if len(c.group.Members.List) == 0 {
+	if !c.groupKnown() {
 		return false
 	}
 	if !c.self.HasDisk {
@@ -275,10 +306,11 @@
 // Next returns the next step of this controller, which must have a disk and no
 // replica.
 func (c *Core) Next() Step {
-	switch {
-	case len(c.group.Members.List) > 0:
+	if c.groupKnown() {
 		return Join
-	case c.self.FirstStart && c.founder == c.self.Address && !c.replicaKnown():
+	}
+	_, ok := c.founds()
+	if ok && c.self.FirstStart && !c.hadReplica && !c.replicaKnown() {
 		return Bootstrap
 	}
 	return Wait
@@ -323,10 +355,11 @@
 	return ok && m.Address == c.self.Address
 }
 
-// Removed reports whether this controller's replica was removed from the group.
-// It can return only under a new identifier then.
+// Removed reports whether this controller's replica was removed from the group, or was to
+// found another one that has never had a leader. It can return only under a new identifier
+// then.
 func (c *Core) Removed() bool {
-	return c.self.ReplicaID != 0 && slices.Contains(c.group.Members.Removed, c.self.ReplicaID)
+	return c.self.ReplicaID != 0 && (slices.Contains(c.group.Members.Removed, c.self.ReplicaID) || c.stranded())
 }
 
 // OperatorAddress returns where operators reach the controller with the given
--- a/fleet/membership/core_test.go
+++ b/fleet/membership/core_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,7 +21,14 @@
 	now        time.Time
 	cores      map[string]*Core
 	startTimes map[string]time.Time
-	founders   []string
+	// founders are the controllers that have a replica of a group that they found, by the
+	// identifier of the group. A group has formed when a majority of its members has.
+	founders map[uint64][]string
+	formed   []raft.Members
+	// lostFrom is when a controller is lost for good. Cut reports whether two controllers
+	// can't reach each other now; nil means that all can.
+	lostFrom map[string]time.Time
+	cut      func(a, b string) bool
 }
 
 // groupVoters is the number of voters that the groups need.
@@ -35,6 +44,8 @@
 		now:        epoch,
 		cores:      make(map[string]*Core),
 		startTimes: make(map[string]time.Time),
+		founders:   make(map[uint64][]string),
+		lostFrom:   make(map[string]time.Time),
 	}
 	for n := 1; n <= withDisk+withoutDisk; n++ {
 		// Start times are spread over 0.3 s.
@@ -43,7 +54,7 @@
 			Address:    address(n),
 			HasDisk:    n > withoutDisk,
 			FirstStart: firstStart,
-		}, seeds, groupVoters, f.startTimes[address(n)])
+		}, seeds, groupVoters, rand.New(rand.NewPCG(uint64(n), 1)), f.startTimes[address(n)])
 	}
 	return f
 }
@@ -52,15 +63,17 @@
 func (f *fleet) run(span time.Duration) {
 	for end := f.now.Add(span); f.now.Before(end); f.now = f.now.Add(tick) {
 		for a, c := range f.cores {
-			if f.now.Before(f.startTimes[a]) {
+			if !f.up(a) {
 				continue
 			}
 			for _, target := range c.GossipTargets(f.now) {
 				other := f.cores[target]
-				if other == nil || f.now.Before(f.startTimes[target]) {
+				if other == nil || !f.up(target) || f.cut != nil && f.cut(a, target) {
 					continue
 				}
-				other.Merge(f.now, c.Gossip())
+				request := c.Gossip()
+				request.Group = Group{}
+				other.Merge(f.now, request)
 				c.Merge(f.now, other.Gossip())
 			}
 			f.act(a, c)
@@ -68,28 +81,60 @@
 	}
 }
 
+// up reports whether a controller runs.
+func (f *fleet) up(a string) bool {
+	lostAt, lost := f.lostFrom[a]
+	return !f.now.Before(f.startTimes[a]) && (!lost || f.now.Before(lostAt))
+}
+
+// form lets the group form in which a majority of the running founders can reach each other.
+func (f *fleet) form(members raft.Members) {
+	for _, leader := range f.founders[members.Group] {
+		var reached []string
+		for _, a := range f.founders[members.Group] {
+			if f.up(leader) && f.up(a) && (a == leader || f.cut == nil || !f.cut(leader, a)) {
+				reached = append(reached, a)
+			}
+		}
+		if len(reached) < members.Quorum() {
+			continue
+		}
+		if !slices.ContainsFunc(f.formed, func(m raft.Members) bool { return m.Group == members.Group }) {
+			f.formed = append(f.formed, members)
+		}
+		for _, a := range reached {
+			f.cores[a].SetGroup(Group{
+				Members:    members,
+				Index:      1,
+				Leader:     leader,
+				LeaderTerm: 1,
+			})
+		}
+		return
+	}
+}
+
 // act takes the next step of a controller that has a disk but no replica.
 func (f *fleet) act(a string, c *Core) {
+	if c.Removed() {
+		c.SetReplica(0) // its data folder is erased
+	}
+	if c.self.ReplicaID != 0 && c.ownGroup != 0 && !c.ownLed {
+		f.form(c.founding)
+		return
+	}
 	if !c.self.HasDisk || c.self.ReplicaID != 0 {
 		return
 	}
 	c.SetReplica(0) // its data folder is empty
 	switch c.Next() {
 	case Bootstrap:
-		f.founders = append(f.founders, a)
-		c.SetReplica(uint64(len(f.founders)))
+		members, id := c.Founding()
+		f.founders[members.Group] = append(f.founders[members.Group], a)
+		c.SetReplica(id)
 		c.SetGroup(Group{
-			Members: raft.Members{
-				List: []raft.Member{
-					{
-						ID:      c.self.ReplicaID,
-						Address: a,
-						Voter:   true,
-					},
-				},
-			},
-			Index:  1,
-			Leader: a,
+			Members: members,
+			Index:   1,
 		})
 	case Join:
 		c.SetReplica(uint64(100 + len(a)))
@@ -111,8 +156,9 @@
 			f := newFleet(3, 3, seeds, true)
 			f.run(3 * time.Second)
 			is.Equal(len(f.founders), 1)
+			is.Equal(len(f.formed), 1)
 			for a, c := range f.cores {
-				is.Equal(c.Group().Leader, f.founders[0]) // all know the leader
+				is.Equal(c.Group().Leader, f.formed[0].List[0].Address) // all know the leader
 				is.Equal(c.self.ReplicaID != 0, c.self.HasDisk)
 				is.Equal(len(c.Addresses()), 6)
 				_ = a
@@ -140,10 +186,12 @@
 		Address:    address(1),
 		HasDisk:    true,
 		FirstStart: true,
-	}, []string{address(1), address(2), address(3)}, groupVoters, f.startTimes[address(1)])
-	f.cores[address(2)].founder = address(2)
+	}, []string{address(1), address(2), address(3)}, groupVoters, rand.New(rand.NewPCG(1, 1)), f.startTimes[address(1)])
+	second := f.cores[address(2)]
+	second.founding = second.newMembers([]string{address(2)})
 	f.run(8 * time.Second)
-	is.Equal(f.founders, []string{address(2)})
+	is.Equal(len(f.formed), 1)
+	is.Equal(f.founders[f.formed[0].Group], []string{address(2)})
 	is.True(f.cores[address(1)].self.ReplicaID != 0)
 }
 
@@ -155,7 +203,7 @@
 		Address:   address(1),
 		HasDisk:   true,
 		ReplicaID: 7,
-	}, nil, groupVoters, epoch)
+	}, nil, groupVoters, nil, epoch)
 	is.True(!c.Removed())
 	c.Merge(epoch, Gossip{
 		Self: Controller{
--- a/fleet/membership/founder.go
+++ b/fleet/membership/founder.go
@@ -4,8 +4,17 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"baobabpaddle/fleet/raft"
 )
 
+// replicaIDs is the number of identifiers of which those of founding replicas are drawn.
+const replicaIDs = 1 << 48
+
+// maxSelectors is the number of seeds up to which another seed selects the founding members in
+// place of one that has fallen silent.
+const maxSelectors = 3
+
 // seedsAnswered reports whether enough seeds have stated what they hold to exclude that a
 // group exists: all of them, or a majority after silentSeedDelay. A controller that has
 // lost its disk may start before the members of its group, with settings that still state
@@ -24,32 +33,132 @@
 	return answered == len(c.seeds) || (2*answered > len(c.seeds) && now.Sub(c.started) >= silentSeedDelay)
 }
 
-// selectFounder selects the founder after founderSelectionDelay, if this controller
-// has the lowest address of the seeds, the fleet starts for the first time, the seeds
-// have answered, enough controllers have an empty disk and no group is known. The founder
-// is the controller with the lowest address among those that have a disk and start for
-// the first time.
-func (c *Core) selectFounder(now time.Time) {
-	if c.founder != "" || !c.self.FirstStart || len(c.group.Members.List) > 0 ||
-		now.Sub(c.started) < founderSelectionDelay || len(c.seeds) == 0 ||
-		slices.MinFunc(c.seeds, compareAddresses) != c.self.Address || c.replicaKnown() || !c.seedsAnswered(now) {
+// selects reports whether this controller selects the founding members: the seed with the
+// lowest address does, and another seed in place of lower ones that have fallen silent.
+func (c *Core) selects(now time.Time) bool {
+	if !slices.Contains(c.firstSeeds, c.self.Address) {
+		return false
+	}
+	for _, seed := range c.firstSeeds {
+		if compareAddresses(seed, c.self.Address) >= 0 {
+			continue
+		}
+		if len(c.firstSeeds) > maxSelectors || now.Sub(c.started) < silentSeedDelay || now.Sub(c.peers[seed].lastContact) < seedContactTime {
+			return false
+		}
+	}
+	return true
+}
+
+// selectFounding selects the members that found the group after founderSelectionDelay, if
+// this controller selects them, the fleet starts for the first time, the seeds have answered,
+// enough controllers have an empty disk and no group is known.
+//
+// Selections of two seeds, which can't reach each other, found one group at most: each
+// controller founds a group once, and a majority of the members of one selection has a
+// controller in common with that of any other.
+func (c *Core) selectFounding(now time.Time) {
+	if len(c.founding.List) > 0 || !c.self.FirstStart || c.hadReplica || c.groupKnown() ||
+		now.Sub(c.started) < founderSelectionDelay || !c.selects(now) || c.replicaKnown() || !c.seedsAnswered(now) {
 		return
 	}
-	var candidates []string
+	candidates := c.emptyDisks()
+	if len(candidates) < c.voters && now.Sub(c.started) < fewDisksDelay {
+		return
+	}
+	if members, ok := c.foundingAddresses(candidates); ok {
+		c.founding = c.newMembers(members)
+	}
+}
+
+// emptyDisks returns the addresses of the controllers that have a disk and start for the
+// first time, in order.
+func (c *Core) emptyDisks() []string {
+	var out []string
 	if c.self.HasDisk {
-		candidates = append(candidates, c.self.Address)
+		out = append(out, c.self.Address)
 	}
 	for _, k := range c.peers {
 		if k.HasDisk && k.FirstStart {
-			candidates = append(candidates, k.Address)
+			out = append(out, k.Address)
 		}
 	}
-	if len(candidates) < c.voters && now.Sub(c.started) < fewDisksDelay {
-		return
+	slices.SortFunc(out, compareAddresses)
+	return out
+}
+
+// foundingAddresses returns the addresses of the members that found the group, of controllers
+// with an empty disk, and whether they can be selected. They are the seeds with a disk, the
+// lowest ones in odd number, so that all selections are of the same members. While a seed that
+// may have a disk is unknown, both of two others are needed. If no seed has a disk, the seed
+// with the lowest address selects the candidate with the lowest one.
+func (c *Core) foundingAddresses(candidates []string) ([]string, bool) {
+	var withDisk []string
+	unknown := 0
+	for _, seed := range c.firstSeeds {
+		k, heard := c.peers[seed]
+		switch {
+		case slices.Contains(candidates, seed):
+			withDisk = append(withDisk, seed)
+		case seed != c.self.Address && (!heard || k.HasDisk):
+			unknown++
+		}
+	}
+	slices.SortFunc(withDisk, compareAddresses)
+	if len(withDisk)+unknown == 0 {
+		lowest := slices.MinFunc(c.firstSeeds, compareAddresses) == c.self.Address
+		return candidates[:min(1, len(candidates))], lowest && len(candidates) > 0
+	}
+	if unknown > 0 && len(c.firstSeeds) <= maxSelectors {
+		return withDisk, len(withDisk) == 2 && unknown == 1
+	}
+	n := min(len(withDisk), c.voters)
+	n -= (n + 1) % 2 // an even number tolerates no more than the odd one below it
+	return withDisk[:n], n > 0
+}
+
+// newMembers returns voters at the addresses, with new identifiers.
+func (c *Core) newMembers(addresses []string) raft.Members {
+	members := raft.Members{}
+	for _, address := range addresses {
+		id := 1 + c.random.Uint64N(replicaIDs)
+		members.List = append(members.List, raft.Member{
+			ID:      id,
+			Address: address,
+			Voter:   true,
+		})
+		if members.Group == 0 || id < members.Group {
+			members.Group = id // as a data folder identifies it
+		}
 	}
-	if len(candidates) > 0 {
-		c.founder = slices.MinFunc(candidates, compareAddresses)
+	return members
+}
+
+// founds returns this controller's entry among the founding members, and whether there is
+// one.
+func (c *Core) founds() (raft.Member, bool) {
+	for _, m := range c.founding.List {
+		if m.Address == c.self.Address {
+			return m, true
+		}
 	}
+	return raft.Member{}, false
+}
+
+// Founding returns the members that found the group and the identifier of this controller's
+// replica among them. It must be called when Next returns Bootstrap.
+func (c *Core) Founding() (members raft.Members, id uint64) {
+	m, _ := c.founds()
+	c.ownGroup = c.founding.Group
+	return c.founding.Clone(), m.ID
+}
+
+// stranded reports whether this controller was to found a group which has never had a leader,
+// as far as its replica knows, while another group has been founded. By then the members of the
+// first have no majority left, so that it holds nothing that was accepted.
+func (c *Core) stranded() bool {
+	return c.ownGroup != 0 && !c.ownLed && c.group.Leader != "" &&
+		c.group.Members.Group != 0 && c.group.Members.Group != c.ownGroup
 }
 
 // compareAddresses orders addresses by IP address and port, and addresses that do
@@ -69,10 +178,11 @@
 	return x.Compare(y)
 }
 
-// replicaKnown reports whether another controller has a replica, so that a group exists.
+// replicaKnown reports whether another controller has a replica that is not to found the group,
+// so that a group exists.
 func (c *Core) replicaKnown() bool {
 	for _, k := range c.peers {
-		if k.ReplicaID != 0 {
+		if _, founds := c.founding.Find(k.ReplicaID); k.ReplicaID != 0 && !founds {
 			return true
 		}
 	}
--- a/fleet/membership/power_member_test.go
+++ b/fleet/membership/power_member_test.go
@@ -83,15 +83,10 @@
 		DiskID:    fmt.Sprintf("disk-%d", id),
 	}
 	if step == membership.Bootstrap {
-		identity.Members = &raft.Members{
-			List: []raft.Member{
-				{
-					ID:      id,
-					Address: h.address,
-					Voter:   true,
-				},
-			},
-		}
+		var members raft.Members
+		members, id = h.gossip.Founding()
+		identity.ReplicaID, identity.DiskID = id, fmt.Sprintf("disk-%d", id)
+		identity.Members = &members
 	}
 	w.tracef("%s prepares its folder for replica %d, founds=%v", h.name, id, step == membership.Bootstrap)
 	h.writeFolder(initWrites(identity))
--- a/fleet/membership/power_model_test.go
+++ b/fleet/membership/power_model_test.go
@@ -209,7 +209,7 @@
 		OperatorAddress: h.address,
 		HasDisk:         h.hasDisk,
 		FirstStart:      h.firstStart,
-	}, w.seeds, 2*w.tolerated+1, h.clock())
+	}, w.seeds, 2*w.tolerated+1, w.random, h.clock())
 	w.tracef("%s starts at %s", h.name, h.address)
 	h.gossipRound()
 	if h.hasDisk {
@@ -268,8 +268,8 @@
 	h.after(h.gossip.Deadline().Sub(h.clock()), h.gossipRound)
 }
 
-// exchangeGossip does what Peers.exchangeGossip and Unary.Hello do: the group and the
-// founder are taken from replies only.
+// exchangeGossip does what Peers.exchangeGossip and Unary.Hello do: the group is taken from
+// replies only.
 func (h *host) exchangeGossip(address string) {
 	failed := func() { delete(h.calling, address) }
 	if h.reachable(address) == nil {
@@ -277,7 +277,6 @@
 		return
 	}
 	request := h.gossip.Gossip()
-	request.Founder = ""
 	request.Group = membership.Group{}
 	incarnation := h.incarnation
 	h.fleet.after(h.fleet.latency(), func() {
