membership: a seed that is cut off counts for the first configuration

Cause: the first configuration waits for the voters that survive the tolerated losses, but for no more than there are controllers with a disk. One that is cut off from the start on wasn't known, so one voter was enough.

Its model makes the number of disks odd now, as the program does.

--- a/controller/internal/operator/configuration.go
+++ b/controller/internal/operator/configuration.go
@@ -35,6 +35,7 @@
 type Directory interface {
 	Group() membership.Group
 	OperatorAddress(address string) string
+	// DiskControllers returns the number of controllers that may have a disk.
 	DiskControllers() int
 }
 
@@ -154,8 +155,8 @@
 
 // enoughVoters reports whether a configuration would survive the loss of the tolerated
 // number of hosts, which takes 2n+1 voters for n hosts, or the largest odd number of
-// controllers with a disk if there are fewer: an even number of voters tolerates no more
-// losses, so the leader keeps it odd. Only the first configuration waits for that; later ones are
+// controllers that may have a disk if there are fewer: an even number of voters tolerates no
+// more losses, so the leader keeps it odd. Only the first configuration waits for that; later ones are
 // accepted whenever there is a quorum.
 func (c *ConfigurationAPI) enoughVoters(r *replica.Replica) bool {
 	configured := false
--- a/controller/internal/peer/gossip.go
+++ b/controller/internal/peer/gossip.go
@@ -144,11 +144,11 @@
 	return p.core.Addresses()
 }
 
-// DiskControllers returns the number of known controllers with a disk.
+// DiskControllers returns the number of controllers that may have a disk.
 func (p *Peers) DiskControllers() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.core.DiskControllers()
+	return p.core.DiskControllers(time.Now())
 }
 
 func encodeController(c membership.Controller) *rpc.ControllerInfo {
--- a/fleet/membership/core.go
+++ b/fleet/membership/core.go
@@ -381,9 +381,10 @@
 	return out
 }
 
-// DiskControllers returns the number of known controllers with a disk, this one
-// included.
-func (c *Core) DiskControllers() int {
+// DiskControllers returns the number of controllers that may have a disk, this one included:
+// those that are known to, and seeds that are not known yet and may be cut off. A seed that has
+// not been heard of for peerExpiry since the start counts as lost.
+func (c *Core) DiskControllers(now time.Time) int {
 	n := 0
 	if c.self.HasDisk {
 		n++
@@ -393,5 +394,13 @@
 			n++
 		}
 	}
+	if now.Sub(c.started) >= peerExpiry {
+		return n
+	}
+	for _, seed := range c.seeds {
+		if _, heard := c.peers[seed]; !heard && seed != c.self.Address {
+			n++
+		}
+	}
 	return n
 }
--- a/fleet/membership/power_member_test.go
+++ b/fleet/membership/power_member_test.go
@@ -237,7 +237,11 @@
 // enoughVoters does what ConfigurationAPI.enoughVoters does.
 func (h *host) enoughVoters() bool {
 	committed := h.replica.status.committed
-	return h.replica.state.Version > 0 || committed.Voters() >= min(2*h.fleet.tolerated+1, h.gossip.DiskControllers())
+	disks := h.gossip.DiskControllers(h.clock())
+	if disks > 0 && disks%2 == 0 {
+		disks--
+	}
+	return h.replica.state.Version > 0 || committed.Voters() >= min(2*h.fleet.tolerated+1, disks)
 }
 
 // change sends the next change to a host and records its acknowledgement.
