membership: the first start with seeds without a disk, and of silent ones

With more than three seeds, none of them with a disk and one unknown, the number of founding members was negative. While a seed was unknown and fewer than two others had a disk, no group formed; before the seed with the lowest address founded one after 10 s. With fewer than three seeds that have a disk there was one founding member.

Change: the seed with the lowest address always selects, and adds others to the seeds with a disk where no other selection can form a group beside that one.

Tests: seeds are drawn now.

--- a/fleet/membership/core.go
+++ b/fleet/membership/core.go
@@ -382,7 +382,7 @@
 }
 
 // DiskControllers returns the number of controllers that may have a disk, this one included:
-// those that are known to, and seeds that are not known yet and may be cut off. A seed that has
+// those that are known to have one, and seeds that are not known yet and may be cut off. A seed that has
 // not been heard of for peerExpiry since the start counts as lost.
 func (c *Core) DiskControllers(now time.Time) int {
 	n := 0
--- a/fleet/membership/core_test.go
+++ b/fleet/membership/core_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -25,6 +24,7 @@
 	// identifier of the group. A group has formed when a majority of its members has.
 	founders map[uint64][]string
 	formed   []raft.Members
+	leaders  map[uint64]string // of the groups that have formed
 	// lostFrom is when a controller is lost for good. Cut reports whether two controllers
 	// can't reach each other now; nil means that all can.
 	lostFrom map[string]time.Time
@@ -45,6 +45,7 @@
 		cores:      make(map[string]*Core),
 		startTimes: make(map[string]time.Time),
 		founders:   make(map[uint64][]string),
+		leaders:    make(map[uint64]string),
 		lostFrom:   make(map[string]time.Time),
 	}
 	for n := 1; n <= withDisk+withoutDisk; n++ {
@@ -99,14 +100,15 @@
 		if len(reached) < members.Quorum() {
 			continue
 		}
-		if !slices.ContainsFunc(f.formed, func(m raft.Members) bool { return m.Group == members.Group }) {
+		if f.leaders[members.Group] == "" {
+			f.leaders[members.Group] = leader
 			f.formed = append(f.formed, members)
 		}
 		for _, a := range reached {
 			f.cores[a].SetGroup(Group{
 				Members:    members,
 				Index:      1,
-				Leader:     leader,
+				Leader:     f.leaders[members.Group],
 				LeaderTerm: 1,
 			})
 		}
@@ -158,7 +160,7 @@
 			is.Equal(len(f.founders), 1)
 			is.Equal(len(f.formed), 1)
 			for a, c := range f.cores {
-				is.Equal(c.Group().Leader, f.formed[0].List[0].Address) // all know the leader
+				is.Equal(c.Group().Leader, f.leaders[f.formed[0].Group]) // all know the leader
 				is.Equal(c.self.ReplicaID != 0, c.self.HasDisk)
 				is.Equal(len(c.Addresses()), 6)
 				_ = a
--- a/fleet/membership/first_start_test.go
+++ b/fleet/membership/first_start_test.go
@@ -8,21 +8,39 @@
 	"github.com/matryer/is"
 )
 
+// manySelections is the number of schedules of TestOneGroupOfManySelections.
+const manySelections = 400
+
 // firstStartTime is the time within which a group forms although one controller is lost.
 const firstStartTime = 20 * time.Second
 
-// TestLostFounderIsReplaced guards against a fleet without a group for good: one of three
-// controllers is lost at a drawn time of the first start.
+// drawSeeds returns three of the first addresses, at least some of them of controllers that
+// have a disk, which come after those without one.
+func drawSeeds(random *rand.Rand, withDisk, withoutDisk, least int) []string {
+	for {
+		var seeds []string
+		disks := 0
+		for _, n := range random.Perm(withDisk + withoutDisk)[:3] {
+			seeds = append(seeds, address(n+1))
+			if n >= withoutDisk {
+				disks++
+			}
+		}
+		if disks >= least {
+			return seeds
+		}
+	}
+}
+
+// TestLostFounderIsReplaced guards against a fleet without a group for good: a seed is lost at a
+// drawn time of the first start, and two or three seeds have a disk.
 func TestLostFounderIsReplaced(t *testing.T) {
-	for seed := range uint64(200) {
+	for seed := range uint64(400) {
 		is := is.New(t)
 		random := rand.New(rand.NewPCG(seed, 7))
-		withoutDisk := random.IntN(4)
-		var seeds []string
-		for n := range 3 {
-			seeds = append(seeds, address(withoutDisk+n+1))
-		}
-		f := newFleet(3, withoutDisk, seeds, true)
+		withDisk, withoutDisk := 3+random.IntN(2), random.IntN(4)
+		seeds := drawSeeds(random, withDisk, withoutDisk, 2)
+		f := newFleet(withDisk, withoutDisk, seeds, true)
 		lost := seeds[random.IntN(3)]
 		f.lostFrom[lost] = epoch.Add(time.Duration(random.Int64N(int64(3 * time.Second))))
 		f.run(firstStartTime)
@@ -37,12 +55,12 @@
 // cut from each other, one is lost, and the cuts change, all at drawn times.
 func TestOneGroupOfManySelections(t *testing.T) {
 	formed := 0
-	for seed := range uint64(400) {
+	for seed := range uint64(manySelections) {
 		is := is.New(t)
 		random := rand.New(rand.NewPCG(seed, 8))
-		seeds := []string{address(1), address(2), address(3)}
-		withoutDisk := random.IntN(4)
-		f := newFleet(3+random.IntN(3), withoutDisk, seeds, true)
+		withDisk, withoutDisk := 3+random.IntN(3), random.IntN(4)
+		seeds := drawSeeds(random, withDisk, withoutDisk, 0)
+		f := newFleet(withDisk, withoutDisk, seeds, true)
 		if random.IntN(2) == 0 {
 			f.lostFrom[seeds[random.IntN(3)]] = epoch.Add(time.Duration(random.Int64N(int64(10 * time.Second))))
 		}
@@ -64,5 +82,5 @@
 			}
 		}
 	}
-	t.Logf("%d of 400 fleets formed a group", formed)
+	t.Logf("%d of %d fleets formed a group", formed, manySelections)
 }
--- a/fleet/membership/founder.go
+++ b/fleet/membership/founder.go
@@ -12,7 +12,7 @@
 const replicaIDs = 1 << 48
 
 // maxSelectors is the number of seeds up to which another seed selects the founding members in
-// place of one that has fallen silent.
+// place of one that has fallen silent, in groups of as many voters at least.
 const maxSelectors = 3
 
 // seedsAnswered reports whether enough seeds have stated what they hold to exclude that a
@@ -33,21 +33,29 @@
 	return answered == len(c.seeds) || (2*answered > len(c.seeds) && now.Sub(c.started) >= silentSeedDelay)
 }
 
+// replaceable reports whether another seed selects the founding members if lower ones have
+// fallen silent.
+func (c *Core) replaceable() bool {
+	return len(c.firstSeeds) <= maxSelectors && c.voters >= maxSelectors
+}
+
+// isLowest reports whether this controller is the seed with the lowest address.
+func (c *Core) isLowest() bool {
+	return len(c.firstSeeds) > 0 && slices.MinFunc(c.firstSeeds, compareAddresses) == c.self.Address
+}
+
 // selects reports whether this controller selects the founding members: the seed with the
 // lowest address does, and another seed in place of lower ones that have fallen silent.
 func (c *Core) selects(now time.Time) bool {
-	if !slices.Contains(c.firstSeeds, c.self.Address) {
-		return false
+	if c.isLowest() {
+		return true
 	}
-	for _, seed := range c.firstSeeds {
-		if compareAddresses(seed, c.self.Address) >= 0 {
-			continue
-		}
-		if len(c.firstSeeds) > maxSelectors || now.Sub(c.started) < silentSeedDelay || now.Sub(c.peers[seed].lastContact) < seedContactTime {
-			return false
-		}
+	if !c.replaceable() || !slices.Contains(c.firstSeeds, c.self.Address) || now.Sub(c.started) < silentSeedDelay {
+		return false
 	}
-	return true
+	return !slices.ContainsFunc(c.firstSeeds, func(seed string) bool {
+		return compareAddresses(seed, c.self.Address) < 0 && now.Sub(c.peers[seed].lastContact) < seedContactTime
+	})
 }
 
 // selectFounding selects the members that found the group after founderSelectionDelay, if
@@ -88,33 +96,51 @@
 }
 
 // foundingAddresses returns the addresses of the members that found the group, of controllers
-// with an empty disk, and whether they can be selected. They are the seeds with a disk, the
-// lowest ones in odd number, so that all selections are of the same members. While a seed that
-// may have a disk is unknown, both of two others are needed. If no seed has a disk, the seed
-// with the lowest address selects the candidate with the lowest one.
+// with an empty disk, and whether they can be selected. They are the seeds with a disk first,
+// then the others, in order of address and odd in number. Where another seed may select too,
+// whose members are two or three seeds with a disk, a majority of the members has a controller
+// in common with any majority of the other's:
+//
+//   - with three such seeds they are the members;
+//   - two such seeds are both needed while the third is unknown, and have one more member
+//     otherwise;
+//   - with one such seed and none unknown no other one selects.
 func (c *Core) foundingAddresses(candidates []string) ([]string, bool) {
-	var withDisk []string
+	var members []string
 	unknown := 0
 	for _, seed := range c.firstSeeds {
 		k, heard := c.peers[seed]
 		switch {
 		case slices.Contains(candidates, seed):
-			withDisk = append(withDisk, seed)
+			members = append(members, seed)
 		case seed != c.self.Address && (!heard || k.HasDisk):
 			unknown++
 		}
 	}
-	slices.SortFunc(withDisk, compareAddresses)
-	if len(withDisk)+unknown == 0 {
-		lowest := slices.MinFunc(c.firstSeeds, compareAddresses) == c.self.Address
-		return candidates[:min(1, len(candidates))], lowest && len(candidates) > 0
+	slices.SortFunc(members, compareAddresses)
+	seeds := len(members)
+	if !c.isLowest() {
+		return members, seeds >= 2
+	}
+	if c.replaceable() && unknown > 0 && seeds == 2 {
+		return members, true
+	}
+	for _, address := range candidates {
+		if !slices.Contains(members, address) {
+			members = append(members, address)
+		}
+	}
+	n := min(len(members), c.voters)
+	switch {
+	case unknown > 0:
+		n = min(n, max(seeds, 1))
+	case c.replaceable() && seeds >= 2:
+		n = min(n, maxSelectors)
 	}
-	if unknown > 0 && len(c.firstSeeds) <= maxSelectors {
-		return withDisk, len(withDisk) == 2 && unknown == 1
+	if n%2 == 0 {
+		n-- // an even number tolerates no more than the odd one below it
 	}
-	n := min(len(withDisk), c.voters)
-	n -= (n + 1) % 2 // an even number tolerates no more than the odd one below it
-	return withDisk[:n], n > 0
+	return members[:max(n, 0)], n > 0
 }
 
 // newMembers returns voters at the addresses, with new identifiers.
