link: the test of a slow peer sends more frames than a link may take

Cause: the test sent 2 x queueFrames frames, 8,192. The writer may take a batch of batchBytes from the queue, 6,553 of the smallest frames, before its write blocks, so that the queue of 4,096 need not fill. The test was wrong, not the link: the bound follows from the constants that are declared.

Change: the test sends one frame more than the queue and one batch hold.

--- a/fleet/link/link_test.go
+++ b/fleet/link/link_test.go
@@ -123,7 +123,9 @@
 		x, y := net.Pipe()
 		c := newConn[frame](x, bufio.NewReader(x), time.Hour, &Stats{})
 		var err error
-		for range 2 * queueFrames {
+		// One write, which the peer doesn't read, takes a batch of the smallest frames at most.
+		const mostFrames = queueFrames + batchBytes/(lengthBytes+1) + 1
+		for range mostFrames + 1 {
 			if err = c.Send(frame{}); err != nil {
 				break
 			}
