--- a/fleet/quarantine/doc.go
+++ b/fleet/quarantine/doc.go
@@ -14,6 +14,10 @@
 // unrelated crash. The caller decides which crashes are evidence: one in the middle of an answer
 // is against the request itself, and against segments that lack complete answers.
 //
+// A request may be placed at several services. Evidence against it counts at all of them, and
+// a complete answer clears it; what was known from services that did not answer it is then held
+// against the request at those, which is a subject of its own.
+//
 // After restrictRounds rounds a subject is quarantined: its requests are refused, but for
 // one trial at a time, sent to an upstream with few other requests, after waits that grow
 // with each failed trial. A trial fails if its upstream crashes and no more than one other
