--- a/fleet/dispatch/moved_route_test.go
+++ b/fleet/dispatch/moved_route_test.go
@@ -7,8 +7,8 @@
 	"github.com/matryer/is"
 )
 
-// TestMovedRequestStopsCrashingUpstreams guards against a request that crashes upstreams anew
-// each time that its route moves to another service, at drawn times.
+// TestMovedRequestStopsCrashingUpstreams guards against a request that is new to the fleet each
+// time that its route moves to another service, at drawn times, and crashes upstreams of that.
 func TestMovedRequestStopsCrashingUpstreams(t *testing.T) {
 	for seed := range uint64(20) {
 		is := is.New(t)
--- a/fleet/membership/founder.go
+++ b/fleet/membership/founder.go
@@ -111,11 +111,11 @@
 	var members []string
 	unknown := 0
 	for _, seed := range c.firstSeeds {
-		k, heard := c.peers[seed]
+		k, known := c.peers[seed]
 		switch {
 		case slices.Contains(candidates, seed):
 			members = append(members, seed)
-		case seed != c.self.Address && (!heard || k.HasDisk):
+		case seed != c.self.Address && (!known || k.HasDisk):
 			unknown++
 		}
 	}
--- a/fleet/quarantine/services.go
+++ b/fleet/quarantine/services.go
@@ -24,9 +24,9 @@
 	}
 }
 
-// answeredAtService reports whether a request had a complete answer lately at the service that
-// it is to be placed at, and engines of others only crashed with it. Its answer distinguishes
-// the services.
+// answeredAtService reports whether a request had a complete answer within answerMemory at the
+// service that it is to be placed at, and only engines of other services crashed with it. Its
+// answer distinguishes the services.
 func (r *Register) answeredAtService(now time.Time, subject Subject, e *entry) bool {
 	if subject.Service == 0 || len(e.services) == 0 || slices.Contains(e.services, subject.Service) {
 		return false
