membership: one of two selections of founding members prevails

Processes stood still for 2 to 5 s, and two seeds, each of which took the other for silent, selected the same two founding members. Each founded with its own selection, both members of which are needed; no group formed.

Cause: the first selection heard of was kept, also by a controller that had not voted yet.

Change: until it has voted a controller changes to the selection with more members, or of the group with the lower identifier, and erases its folder for it; a vote binds it. Two members, both of which are needed, give way to three once the third seed is known.

--- a/controller/internal/peer/member.go
+++ b/controller/internal/peer/member.go
@@ -150,9 +150,14 @@
 	m.current.Store(nil)
 	select {
 	case <-removed:
-		m.stops.noteStop(r.Status(), causeRemoved, started, time.Now())
+		status := r.Status()
+		m.stops.noteStop(status, causeRemoved, started, time.Now())
+		erase := false
+		m.peers.withCore(func(c *membership.Core) { erase = c.Leave(status.Term) })
+		if !erase {
+			return nil
+		}
 		m.log.Info("replica was removed from the group or has no group, its data folder is erased", "replica", id)
-		m.peers.withCore(func(c *membership.Core) { c.SetReplica(0) })
 		return disk.Erase(m.folder)
 	default:
 		m.stops.noteStop(r.Status(), stopCause(err), started, time.Now())
--- a/fleet/membership/core.go
+++ b/fleet/membership/core.go
@@ -94,7 +94,8 @@
 type Core struct {
 	self     Controller
 	examined bool // it is known whether the data folder holds a replica
-	// hadReplica reports whether this controller has had a replica since it started.
+	// hadReplica reports whether this controller has had a replica since it started that may have
+	// voted.
 	hadReplica bool
 	seeds      []string
 	firstSeeds []string // the seeds at the start
@@ -211,14 +212,14 @@
 }
 
 // Merge updates the view from a peer's gossip, and records contact with its
-// sender. The first founding members heard of are kept; of two views of the members, the one
-// with the higher index; of two leaders, the one with the higher term.
+// sender. It keeps the preferred one of two selections of founding members; of two views of the
+// members, the one with the higher index; of two leaders, the one with the higher term.
 func (c *Core) Merge(now time.Time, g Gossip) {
 	c.recordPeer(now, g.Self, true)
 	for _, k := range g.Peers {
 		c.recordPeer(now, k, false)
 	}
-	if g.Group.Index == 0 && len(c.founding.List) == 0 {
+	if g.Group.Index == 0 && c.prefers(g.Group.Members) {
 		c.founding = g.Group.Members
 	}
 	if g.Group.Index > c.group.Index || g.Group.Leader != "" && !c.groupKnown() {
@@ -363,8 +364,24 @@
 }
 
 // Removed reports whether this controller's replica was removed from the group, or was to
-// found another one that has never had a leader. It can return only under a new identifier
-// then.
-func (c *Core) Removed() bool {
+// found another one than has been founded or is founded by now. It can return only under a new
+// identifier then. The replica is to be stopped, and Leave tells what follows.
+func (c *Core) Removed() bool { return c.removed() || c.superseded() }
+
+// removed reports whether the replica is of no use, whatever it has voted for.
+func (c *Core) removed() bool {
 	return c.self.ReplicaID != 0 && (slices.Contains(c.group.Members.Removed, c.self.ReplicaID) || c.stranded())
 }
+
+// Leave reports whether the data folder of a replica that has stopped in a term, since Removed
+// returned true, is to be erased. A replica that has taken part in a vote since must start
+// again.
+func (c *Core) Leave(term uint64) bool {
+	removed := c.removed()
+	if !removed && term > 0 {
+		return false
+	}
+	c.SetReplica(0)
+	c.hadReplica = removed
+	return true
+}
--- a/fleet/membership/core_test.go
+++ b/fleet/membership/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,12 +24,15 @@
 	// founders are the controllers that have a replica of a group that they found, by the
 	// identifier of the group. A group has formed when a majority of its members has.
 	founders map[uint64][]string
+	members  map[uint64]raft.Members
 	formed   []raft.Members
 	leaders  map[uint64]string // of the groups that have formed
 	// lostFrom is when a controller is lost for good. Cut reports whether two controllers
 	// can't reach each other now; nil means that all can.
-	lostFrom map[string]time.Time
-	cut      func(a, b string) bool
+	// FrozenTill is when a controller goes on after a pause.
+	lostFrom   map[string]time.Time
+	frozenTill map[string]time.Time
+	cut        func(a, b string) bool
 }
 
 // groupVoters is the number of voters that the groups need.
@@ -45,8 +49,10 @@
 		cores:      make(map[string]*Core),
 		startTimes: make(map[string]time.Time),
 		founders:   make(map[uint64][]string),
+		members:    make(map[uint64]raft.Members),
 		leaders:    make(map[uint64]string),
 		lostFrom:   make(map[string]time.Time),
+		frozenTill: make(map[string]time.Time),
 	}
 	for n := 1; n <= withDisk+withoutDisk; n++ {
 		// Start times are spread over 0.3 s.
@@ -85,7 +91,7 @@
 // up reports whether a controller runs.
 func (f *fleet) up(a string) bool {
 	lostAt, lost := f.lostFrom[a]
-	return !f.now.Before(f.startTimes[a]) && (!lost || f.now.Before(lostAt))
+	return !f.now.Before(f.startTimes[a]) && (!lost || f.now.Before(lostAt)) && !f.now.Before(f.frozenTill[a])
 }
 
 // form lets the group form in which a majority of the running founders can reach each other.
@@ -118,11 +124,11 @@
 
 // act takes the next step of a controller that has a disk but no replica.
 func (f *fleet) act(a string, c *Core) {
-	if c.Removed() {
-		c.SetReplica(0) // its data folder is erased
+	if group := c.ownGroup; c.Removed() && c.Leave(0) { // its data folder is erased
+		f.founders[group] = slices.DeleteFunc(f.founders[group], func(other string) bool { return other == a })
 	}
 	if c.self.ReplicaID != 0 && c.unformed() {
-		f.form(c.founding)
+		f.form(f.members[c.ownGroup])
 		return
 	}
 	if !c.self.HasDisk || c.self.ReplicaID != 0 {
@@ -133,6 +139,7 @@
 	case Bootstrap:
 		members, id := c.Founding()
 		f.founders[members.Group] = append(f.founders[members.Group], a)
+		f.members[members.Group] = members
 		c.SetReplica(id)
 		c.SetGroup(Group{
 			Members: members,
--- a/fleet/membership/first_start_test.go
+++ b/fleet/membership/first_start_test.go
@@ -84,3 +84,33 @@
 	}
 	t.Logf("%d of %d fleets formed a group", formed, manySelections)
 }
+
+// TestPausesAtFirstStart guards against two selections of which neither forms a group: one of
+// three controllers is lost at the start, and the others pause at drawn times, so that each takes
+// the other for silent.
+func TestPausesAtFirstStart(t *testing.T) {
+	selections := 0
+	for seed := range uint64(400) {
+		is := is.New(t)
+		random := rand.New(rand.NewPCG(seed, 9))
+		seeds := []string{address(1), address(2), address(3)}
+		f := newFleet(3, 0, seeds, true)
+		lost := seeds[random.IntN(3)]
+		f.lostFrom[lost] = epoch.Add(time.Duration(random.Int64N(int64(time.Second))))
+		for f.now.Before(epoch.Add(firstStartTime)) {
+			a := seeds[random.IntN(3)]
+			f.frozenTill[a] = f.now.Add(time.Duration(random.Int64N(int64(4 * time.Second))))
+			f.run(time.Duration(random.Int64N(int64(2 * time.Second))))
+		}
+		clear(f.frozenTill)
+		f.run(firstStartTime)
+		is.Equal(len(f.formed), 1)
+		for a, c := range f.cores {
+			is.True(a == lost || c.groupKnown())
+		}
+		if len(f.members) > 1 {
+			selections++
+		}
+	}
+	t.Logf("more than one selection in %d of 400 fleets", selections)
+}
--- a/fleet/membership/founder.go
+++ b/fleet/membership/founder.go
@@ -64,11 +64,13 @@
 // this controller selects them, the fleet starts for the first time, the seeds have answered,
 // enough controllers have an empty disk and no group is known.
 //
-// Selections of two seeds, which can't reach each other, found one group at most: each
-// controller founds a group once, and a majority of the members of one selection has a
-// controller in common with that of any other.
+// Selections of two seeds, which can't reach each other, found one group at most: a controller
+// votes in the group of one selection only, and a majority of the members of one selection has a
+// controller in common with that of any other. Until it has voted it may change to another
+// selection.
 func (c *Core) selectFounding(now time.Time) {
-	if len(c.founding.List) > 0 || !c.self.FirstStart || c.hadReplica || c.groupKnown() ||
+	known := len(c.founding.List)
+	if known != 0 && known != 2 || !c.self.FirstStart || c.hadReplica && !c.unformed() || c.groupKnown() ||
 		now.Sub(c.started) < founderSelectionDelay || !c.selects(now) || c.replicaKnown() || !c.seedsAnswered(now) {
 		return
 	}
@@ -76,7 +78,8 @@
 	if len(candidates) < c.voters && now.Sub(c.started) < fewDisksDelay {
 		return
 	}
-	if members, ok := c.foundingAddresses(candidates); ok {
+	// Two members, both of which are needed, give way to three.
+	if members, ok := c.foundingAddresses(candidates); ok && len(members) > known {
 		c.founding = c.newMembers(members)
 	}
 }
@@ -184,6 +187,26 @@
 // yet.
 func (c *Core) unformed() bool { return c.ownGroup != 0 && !c.ownFormed }
 
+// prefers reports whether a selection of founding members is to be taken in place of the known
+// one: that of more members and then of the group with the lower identifier, until there has
+// been a vote.
+func (c *Core) prefers(founding raft.Members) bool {
+	if len(founding.List) == 0 || c.ownFormed {
+		return false
+	}
+	if len(founding.List) != len(c.founding.List) {
+		return len(founding.List) > len(c.founding.List)
+	}
+	return founding.Group < c.founding.Group
+}
+
+// superseded reports whether this controller's replica was to found a group, without any vote,
+// and this controller is to found another one by now.
+func (c *Core) superseded() bool {
+	_, founds := c.founds()
+	return c.self.ReplicaID != 0 && c.self.FirstStart && c.unformed() && founds && c.founding.Group != c.ownGroup
+}
+
 // stranded reports whether this controller's replica was to found a group, without any vote,
 // while another group has been founded. It holds nothing that was accepted.
 func (c *Core) stranded() bool {
--- a/fleet/membership/power_member_test.go
+++ b/fleet/membership/power_member_test.go
@@ -127,10 +127,13 @@
 	}
 	group := h.gossip.Group()
 	if h.gossip.Removed() {
-		h.fleet.tracef("%s was removed as replica %d and erases its folder", h.name, r.id)
 		h.folder.sync()
 		r.stop()
-		h.gossip.SetReplica(0)
+		if !h.gossip.Leave(r.core.Term()) {
+			h.after(memberInterval, h.runMember)
+			return
+		}
+		h.fleet.tracef("%s was removed as replica %d and erases its folder", h.name, r.id)
 		h.writeFolder(eraseWrites())
 		return
 	}
