--- /dev/null
+++ b/review/rig/weights.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// minTakenUp is the number of streams that callers take up again from which LOST holds.
+const minTakenUp = 12
+
+// weightsCase changes the weights of a route while streams are under way, and then kills a machine
+// that forwards some of them.
+func weightsCase(c *run) (bool, error) {
+	var engines []*engine
+	for i := range 4 {
+		engines = append(engines, newEngine(i, fmt.Sprintf("i-%d", i+1), []string{"llm-a", "llm-b"}[i/2], "v1", 64, streamEvents))
+	}
+	config := func(version, a, b int) map[string]any {
+		split := []any{map[string]any{"service": "llm-a", "weight": a}, map[string]any{"service": "llm-b", "weight": b}}
+		return configuration(version, []any{chat(map[string]any{"services_by_weight": split})}, []any{modelService("llm-a"), modelService("llm-b")})
+	}
+	f, err := c.start(engines, config(1, 90, 10))
+	if err != nil {
+		return false, err
+	}
+	killed, others := f.hosts[5], f.hosts[:5] // without a disk, so no machine of the core
+	all := startCallers(c.record, 100*time.Millisecond, func(caller, attempt int) *host {
+		if attempt == 0 && caller%3 == 0 && !killed.gateway.ended() {
+			return killed
+		}
+		return others[(caller+attempt)%len(others)]
+	})
+	time.Sleep(8 * time.Second)
+	if c.trouble {
+		if err := f.replaceConfiguration(config(2, 10, 90), 5*time.Second); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(configTime)
+	c.record.line("%s is killed", killed.name)
+	killedAt := time.Now()
+	killed.gateway.kill()
+	killed.controller.kill()
+	time.Sleep(3 * time.Second)
+	taken, wentOn, started, begun := 0, 0, 0, 0
+	for _, s := range all.stop() {
+		if s.takenUp.After(killedAt) {
+			taken++
+			if s.wentOn {
+				wentOn++
+			}
+		}
+		if s.started.After(killedAt) {
+			started++
+			if s.firstTry {
+				begun++
+			}
+		}
+	}
+	c.record.result("streams taken up: %d, of which %d went on; new streams: %d, of which %d began (LOST: less than half as often)", taken, wentOn, started, begun)
+	if taken < minTakenUp || begun*2 < started {
+		return false, fmt.Errorf("too few streams were taken up or begun")
+	}
+	return float64(wentOn)/float64(taken) >= 0.5*float64(begun)/float64(started), nil
+}
