--- a/review/rig/crashes.go
+++ b/review/rig/crashes_test.go
@@ -1,4 +1,4 @@
-package main
+package rig
 
 import (
 	"fmt"
--- a/review/rig/main.go
+++ b/review/rig/main_test.go
@@ -1,7 +1,7 @@
-// Program rig starts the project's programs on loopback addresses beside stand-ins of clients,
-// upstreams and the platform, and plays one case. It exits with 1 if the rule of the case was broken,
-// with 0 if it held and with 2 if the case couldn't run.
-package main
+// Package rig starts the project's programs on loopback addresses beside stand-ins of clients,
+// upstreams and the platform, and plays one case. It is built as a program by go test -c, which exits
+// with 1 if the rule of the case was broken, with 0 if it held and with 2 if the case couldn't run.
+package rig
 
 import (
 	"fmt"
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 )
 
@@ -36,7 +37,8 @@
 	fleet *fleet
 }
 
-func main() {
+// TestMain plays the case that the arguments name.
+func TestMain(*testing.M) {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE REPOSITORY FOLDER")
 		os.Exit(2)
