--- a/review/rig/fleet_test.go
+++ b/review/rig/fleet_test.go
@@ -236,16 +236,6 @@
 	}
 }
 
-// ended reports whether the process has ended.
-func (p *process) ended() bool {
-	select {
-	case <-p.done:
-		return true
-	default:
-		return false
-	}
-}
-
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
 	<-p.done
--- a/review/rig/weights_test.go
+++ b/review/rig/weights_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"time"
 )
 
 const (
 	// minTakenUp is the number of streams that callers take up again from which LOST holds.
 	minTakenUp = 12
-	// killDelay is the time from the confirmation of the change to the kill.
+	// killDelay is the time from the confirmation of the change to the kill, and killedFor the time
+	// until the machine's processes are started again.
 	killDelay = time.Second
+	killedFor = 2 * time.Second
 )
 
 // weightsCase changes the weights of a route while streams are under way, and then kills a machine
@@ -23,29 +26,38 @@
 		split := []any{map[string]any{"service": "llm-a", "weight": a}, map[string]any{"service": "llm-b", "weight": b}}
 		return configuration(version, []any{chat(map[string]any{"services_by_weight": split})}, []any{modelService("llm-a"), modelService("llm-b")})
 	}
-	f, err := c.start(engines, config(1, 90, 10))
+	f, err := c.start(engines, config(1, 95, 5))
 	if err != nil {
 		return false, err
 	}
 	killed, others := f.hosts[5], f.hosts[:5] // without a disk, so no machine of the core
+	var gone atomic.Bool                      // the balancer sends the killed machine no more callers
 	all := startCallers(c.record, 100*time.Millisecond, func(caller, attempt int) *host {
-		if attempt == 0 && caller%3 == 0 && !killed.gateway.ended() {
+		if attempt == 0 && caller%3 == 0 && !gone.Load() {
 			return killed
 		}
 		return others[(caller+attempt)%len(others)]
 	})
 	time.Sleep(8 * time.Second)
 	if c.trouble {
-		if err := f.replaceConfiguration(config(2, 10, 90), 5*time.Second); err != nil {
+		if err := f.replaceConfiguration(config(2, 5, 95), 5*time.Second); err != nil {
 			return false, err
 		}
 	}
 	time.Sleep(killDelay)
 	c.record.line("%s is killed", killed.name)
 	killedAt := time.Now()
+	gone.Store(true)
 	killed.gateway.kill()
 	killed.controller.kill()
-	time.Sleep(3 * time.Second)
+	time.Sleep(killedFor)
+	for _, p := range []*process{killed.controller, killed.gateway} {
+		if err := f.restart(p); err != nil {
+			return false, err
+		}
+	}
+	c.record.line("%s is started again", killed.name)
+	time.Sleep(time.Second)
 	taken, wentOn, started, begun := 0, 0, 0, 0
 	for _, s := range all.stop() {
 		if s.takenUp.After(killedAt) {
