--- a/review/rig/engine_test.go
+++ b/review/rig/engine_test.go
@@ -20,6 +20,8 @@
 	zone    string
 	slots   int
 	number  int
+	// pause is the time from one event of a stream to the next.
+	pause time.Duration
 	// handle runs a request that the engine accepts.
 	handle func(e *engine, w http.ResponseWriter, r *http.Request)
 
@@ -44,6 +46,7 @@
 		zone:    zoneOf(number),
 		slots:   slots,
 		number:  number,
+		pause:   eventPause,
 		handle:  handle,
 		state:   "ready",
 
@@ -167,7 +170,7 @@
 	fmt.Fprintf(w, "answer of %s", e.id)
 }
 
-// Pace of the streams.
+// Pace of the streams where a case sets no other.
 const (
 	eventPause = 150 * time.Millisecond
 	eventCount = 60
@@ -181,7 +184,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w)
 	for i := last + 1; i <= eventCount; i++ {
-		if !sleep(r.Context(), eventPause) {
+		if !sleep(r.Context(), e.pause) {
 			return
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s boot-%d\n\n", i, version, e.id, boot); err != nil {
--- a/review/rig/fleet_test.go
+++ b/review/rig/fleet_test.go
@@ -38,6 +38,7 @@
 // host is a machine of class front with a gateway and a controller.
 type host struct {
 	name       string
+	number     int
 	ip         string
 	zone       string
 	disk       bool
@@ -63,6 +64,8 @@
 	hosts   []*host
 	list    *platformList
 	record  *record
+	// between connects the machines; nil if they are connected directly.
+	between *network
 
 	mu        sync.Mutex
 	processes []*process
@@ -113,12 +116,18 @@
 	}
 	for i := range 6 {
 		f.hosts = append(f.hosts, &host{
-			name: fmt.Sprintf("front-%d", i+1),
-			ip:   f.address(1, i+1),
-			zone: zoneOf(i),
-			disk: i < 3,
+			name:   fmt.Sprintf("front-%d", i+1),
+			number: i + 1,
+			ip:     f.address(1, i+1),
+			zone:   zoneOf(i),
+			disk:   i < 3,
 		})
 	}
+	if f.between != nil {
+		if err := f.between.start(f); err != nil {
+			return err
+		}
+	}
 	seeds := []string{}
 	for _, h := range f.hosts[:3] {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", h.ip, operatorPort))
@@ -148,6 +157,9 @@
 		"list_address": f.list.address,
 		"credential":   map[string]any{"private_network": true},
 	}
+	if f.between != nil {
+		controller["listen_address"] = f.address(2, h.number)
+	}
 	if h.disk {
 		controller["data_folder"] = folder + ".data"
 		if err := os.MkdirAll(folder+".data", 0o700); err != nil {
@@ -255,6 +267,9 @@
 	if f.list != nil {
 		f.list.stop()
 	}
+	if f.between != nil {
+		f.between.stop()
+	}
 }
 
 var operatorClient = &http.Client{
--- a/review/rig/main_test.go
+++ b/review/rig/main_test.go
@@ -22,6 +22,7 @@
 	"order":   orderCase,
 	"weights": weightsCase,
 	"crashes": crashesCase,
+	"cut":     cutCase,
 	"crasher": crasherCase,
 	"backoff": backoffCase,
 }
--- a/review/rig/weights_test.go
+++ b/review/rig/weights_test.go
@@ -45,37 +45,50 @@
 		}
 	}
 	time.Sleep(killDelay)
-	c.record.line("%s is killed", killed.name)
 	killedAt := time.Now()
 	gone.Store(true)
-	killed.gateway.kill()
-	killed.controller.kill()
-	time.Sleep(killedFor)
-	for _, p := range []*process{killed.controller, killed.gateway} {
-		if err := f.restart(p); err != nil {
-			return false, err
-		}
+	if err := f.killAndRestart(killed); err != nil {
+		return false, err
 	}
-	c.record.line("%s is started again", killed.name)
 	time.Sleep(time.Second)
+	return judgeTakenUp(c.record, all.stop(), killedAt)
+}
+
+// judgeTakenUp reports whether enough of the streams went on that callers took up after a time.
+func judgeTakenUp(r *record, streams []*stream, since time.Time) (bool, error) {
 	taken, wentOn, started, begun := 0, 0, 0, 0
-	for _, s := range all.stop() {
-		if s.takenUp.After(killedAt) {
+	for _, s := range streams {
+		if s.takenUp.After(since) {
 			taken++
 			if s.wentOn {
 				wentOn++
 			}
 		}
-		if s.started.After(killedAt) {
+		if s.started.After(since) {
 			started++
 			if s.firstTry {
 				begun++
 			}
 		}
 	}
-	c.record.result("streams taken up: %d, of which %d went on; new streams: %d, of which %d began (LOST: less than half as often)", taken, wentOn, started, begun)
+	r.result("streams taken up: %d, of which %d went on; new streams: %d, of which %d began (LOST: less than half as often)", taken, wentOn, started, begun)
 	if taken < minTakenUp || begun*2 < started {
 		return false, fmt.Errorf("too few streams were taken up or begun")
 	}
 	return float64(wentOn)/float64(taken) >= 0.5*float64(begun)/float64(started), nil
 }
+
+// killAndRestart kills a machine and starts it again.
+func (f *fleet) killAndRestart(h *host) error {
+	f.record.line("%s is killed", h.name)
+	h.gateway.kill()
+	h.controller.kill()
+	time.Sleep(killedFor)
+	for _, p := range []*process{h.controller, h.gateway} {
+		if err := f.restart(p); err != nil {
+			return err
+		}
+	}
+	f.record.line("%s is started again", h.name)
+	return nil
+}
