gateway: requests on connections that are being closed are not dropped late

Cause: a connection was marked as closing, and a goroutine closed it later; what a caller sent in between was read and dropped. A reader took a request from the kernel before it recorded that one had come, so that who closes idle connections did not see it. Listeners did not wait for the end of connections that they had given up.

Change: the writing side is shut down where the decision is made; a head is recorded before its bytes are taken; Conns waits for the end of what it gave up, 100 ms at most.

--- a/gateway/internal/serve/closing_test.go
+++ b/gateway/internal/serve/closing_test.go
@@ -198,3 +198,114 @@
 	is.True(n > 0)
 	is.True(conns.HeadRead(conns.ConnContext(context.Background(), c)))
 }
+
+// unscheduledConn is a connection whose Close waits, as in a process that is short of processor
+// time, until the test ends.
+type unscheduledConn struct {
+	*net.TCPConn
+	ended <-chan struct{}
+}
+
+// Close implements net.Conn.
+func (c unscheduledConn) Close() error {
+	<-c.ended
+	return c.TCPConn.Close()
+}
+
+// unscheduledListener accepts unscheduledConns.
+type unscheduledListener struct {
+	net.Listener
+	ended <-chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l unscheduledListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return unscheduledConn{
+		TCPConn: c.(*net.TCPConn),
+		ended:   l.ended,
+	}, nil
+}
+
+// TestCallersSeeCloseAtOnce guards against requests that are sent on a connection long after the
+// gateway has decided to close it, and are dropped: the goroutine that closes it waits for the
+// processor.
+func TestCallersSeeCloseAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		sends string // before the close
+		close func(conns *Conns, conn *trackedConn)
+	}{
+		{
+			name: "idle for too long",
+			close: func(conns *Conns, _ *trackedConn) {
+				conns.prune(time.Now().Add(time.Minute))
+			},
+		},
+		{
+			name: "end of a drain",
+			close: func(conns *Conns, _ *trackedConn) {
+				conns.CloseIdle()
+			},
+		},
+		{
+			name:  "late head",
+			sends: "GET",
+			close: func(conns *Conns, _ *trackedConn) {
+				conns.prune(time.Now().Add(time.Minute))
+				conns.prune(time.Now().Add(time.Minute))
+			},
+		},
+		{
+			name: "too many connections",
+			close: func(conns *Conns, _ *trackedConn) {
+				conns.mu.Lock()
+				defer conns.mu.Unlock()
+				conns.makeRoom(nil)
+			},
+		},
+		{
+			name: "no memory",
+			close: func(conns *Conns, conn *trackedConn) {
+				conn.held.Store(10)
+				conns.giveUpBytes(&trackedConn{}, 1)
+			},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer listener.Close()
+			ended := make(chan struct{})
+			defer close(ended)
+			second := func() time.Duration { return time.Second }
+			conns := NewConns(5, second, second)
+			caller, err := net.Dial("tcp", listener.Addr().String())
+			is.NoErr(err)
+			defer caller.Close()
+			accepted, err := conns.Listener(unscheduledListener{
+				Listener: listener,
+				ended:    ended,
+			}).Accept()
+			is.NoErr(err)
+			conn := accepted.(*trackedConn)
+			conns.ConnState(conn, http.StateNew)
+			if c.sends != "" {
+				_, err = io.WriteString(caller, c.sends)
+				is.NoErr(err)
+				_, err = conn.Read(make([]byte, 10))
+				is.NoErr(err)
+			} else {
+				conns.ConnState(conn, http.StateIdle)
+			}
+			c.close(conns, conn)
+			_ = caller.SetReadDeadline(time.Now().Add(time.Second))
+			_, err = caller.Read(make([]byte, 1))
+			is.Equal(err, io.EOF)
+		})
+	}
+}
--- a/gateway/internal/serve/conns.go
+++ b/gateway/internal/serve/conns.go
@@ -37,16 +37,28 @@
 	idleConns list.List                  // of idleConn, longest idle first
 	// closed is told of each connection that is given up at a limit, with its peer.
 	closed func(peer netip.Addr, cause string)
+	// dropped is called when bytes arrive on a connection that is being closed. After is the time
+	// since the decision to close it.
+	dropped func(peer netip.Addr, cause string, after time.Duration)
 	// reserve reserves memory for a head that arrives on a connection, and release returns it.
 	reserve func(t *trackedConn, n int64) bool
 	release func(t *trackedConn, n int64)
 	// toGiveUp are connections that may be given up, the first to go first, as of orderedAt.
 	toGiveUp  []ordered
 	orderedAt time.Time
+	// ended receives a value after a connection has ended.
+	ended chan struct{}
 	// closing is true after CloseIdle: connections that nothing arrives on are closed.
 	closing bool
 }
 
+// Causes for which a connection is closed, beside those of package connlimit.
+const (
+	causeIdle     = "idle"
+	causeLateHead = "late_head"
+	causeDrain    = "drain"
+)
+
 // idleConn is an idle connection and the time since which it is idle.
 type idleConn struct {
 	conn  net.Conn
@@ -62,7 +74,9 @@
 		idleTimeout: idleTimeout,
 		headTimeout: headTimeout,
 		open:        make(map[net.Conn]*list.Element),
+		ended:       make(chan struct{}, 1),
 		closed:      func(netip.Addr, string) {},
+		dropped:     func(netip.Addr, string, time.Duration) {},
 		reserve:     func(*trackedConn, int64) bool { return true },
 		release:     func(*trackedConn, int64) {},
 	}
@@ -90,6 +104,10 @@
 		})
 	default:
 		delete(c.open, conn)
+		select {
+		case c.ended <- struct{}{}:
+		default: // one is pending
+		}
 		if t, ok := conn.(*trackedConn); ok {
 			c.releaseHead(t)
 		}
@@ -98,23 +116,29 @@
 		c.makeRoom(conn)
 	}
 	if state == http.StateNew && c.closing {
-		c.closeIfIdle(conn)
+		c.closeIfIdle(conn, causeDrain)
 	}
 }
 
 // closeIfIdle closes a connection and reports true, unless a request has begun to arrive on it;
 // mu must be held. Of connections that are not of Listener, that is known only once the whole
 // head was read.
-func (c *Conns) closeIfIdle(conn net.Conn) bool {
+func (c *Conns) closeIfIdle(conn net.Conn, cause string) bool {
 	e := c.open[conn]
-	if t, ok := conn.(*trackedConn); ok && !t.endIdle() || !ok && e == nil {
+	t, tracked := conn.(*trackedConn)
+	if tracked && !t.endIdle() || !tracked && e == nil {
 		return false
 	}
 	if e != nil {
 		c.idleConns.Remove(e)
 		c.open[conn] = nil
 	}
-	go conn.Close() // the server then reports StateClosed, which removes it from c.open
+	// The server then reports StateClosed, which removes it from c.open.
+	if tracked {
+		t.end(cause)
+	} else {
+		go conn.Close()
+	}
 	return true
 }
 
@@ -129,17 +153,43 @@
 		return
 	}
 	for e := c.idleConns.Front(); e != nil; e = e.Next() { // those that are not of Listener
-		if c.closeIfIdle(e.Value.(idleConn).conn) {
+		if c.closeIfIdle(e.Value.(idleConn).conn, connlimit.CauseConns) {
 			return
 		}
 	}
 	if float64(len(c.open)) > (1+overLimitFraction)*float64(c.maxOpen) {
-		if t, ok := added.(*trackedConn); ok && c.closeIfIdle(added) {
+		if t, ok := added.(*trackedConn); ok && c.closeIfIdle(added, connlimit.CauseConns) {
 			c.closed(t.peer, connlimit.CauseConns)
 		}
 	}
 }
 
+// maxEndTime is how long a new connection waits for the end of those that are given up.
+const maxEndTime = 100 * time.Millisecond
+
+// awaitRoom waits until the connections, with those that are being closed, are within the bound that
+// makeRoom keeps, or for maxEndTime.
+func (c *Conns) awaitRoom() {
+	var timeout <-chan time.Time
+	for c.full() {
+		if timeout == nil {
+			timeout = time.After(maxEndTime)
+		}
+		select {
+		case <-c.ended:
+		case <-timeout:
+			return
+		}
+	}
+}
+
+// full reports whether there are more connections than makeRoom keeps.
+func (c *Conns) full() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return float64(len(c.open)) > (1+overLimitFraction)*float64(c.maxOpen)
+}
+
 // NearLimit reports whether so many connections are open that callers whose requests are
 // refused should give theirs up.
 func (c *Conns) NearLimit() bool {
@@ -170,7 +220,7 @@
 	defer c.mu.Unlock()
 	c.closing = true
 	for conn := range c.open {
-		c.closeIfIdle(conn)
+		c.closeIfIdle(conn, causeDrain)
 	}
 }
 
@@ -206,7 +256,7 @@
 	for e := c.idleConns.Front(); e != nil && now.Sub(e.Value.(idleConn).since) > limit; {
 		conn := e.Value.(idleConn).conn
 		e = e.Next()
-		c.closeIfIdle(conn)
+		c.closeIfIdle(conn, causeIdle)
 	}
 	c.pruneLateHeads(now)
 	c.markStalled(now)
@@ -231,7 +281,7 @@
 			continue
 		}
 		if t.overdue && t.endLate(since) {
-			go conn.Close() // the server reports StateClosed
+			t.end(causeLateHead)
 		}
 		t.overdue = true
 	}
--- a/gateway/internal/serve/held.go
+++ b/gateway/internal/serve/held.go
@@ -1,7 +1,10 @@
 package serve
 
 import (
+	"log/slog"
 	"net/http"
+	"net/netip"
+	"sync"
 	"time"
 
 	"baobabpaddle/fleet/connlimit"
@@ -46,9 +49,37 @@
 // limitConns connects the limits of the connections with those of the requests.
 func (h *Handler) limitConns(metrics *telemetry.Metrics) {
 	h.conns.closed = program.ReportClosed("callers", metrics, h.log)
+	h.conns.dropped = reportDropped(metrics, h.log)
 	h.conns.reserve, h.conns.release = h.reserve, h.release
 }
 
+// Bounds of the pause between two lines about dropped bytes.
+const (
+	droppedLogInterval    = time.Second
+	droppedLogMaxInterval = 30 * time.Second
+)
+
+// reportDropped returns a function that counts connections on which bytes arrived while they were
+// being closed, and logs them at growing intervals. It is safe for concurrent use.
+func reportDropped(metrics *telemetry.Metrics, log *slog.Logger) func(netip.Addr, string, time.Duration) {
+	var mu sync.Mutex
+	since := 0 // the last line
+	pace := telemetry.Pace{
+		First: droppedLogInterval,
+		Max:   droppedLogMaxInterval,
+	}
+	return func(peer netip.Addr, cause string, after time.Duration) {
+		metrics.Counter(`gateway_requests_dropped_total{cause="` + cause + `"}`).Inc()
+		mu.Lock()
+		defer mu.Unlock()
+		since++
+		if pace.Due(time.Now()) {
+			log.Warn("request arrived on a connection that is being closed", "cause", cause, "decided_ms_before", after.Milliseconds(), "peer", peer, "dropped", since)
+			since = 0
+		}
+	}
+}
+
 // reserve reserves n bytes for the request. If there is no room it gives up connections that
 // hold more. It reports false if there is none.
 func (x *exchange) reserve(n int64) bool {
@@ -306,13 +337,13 @@
 // must be held. A request that is given up was not placed, except that of a stalled caller.
 func (c *Conns) giveUp(t *trackedConn, phase connlimit.Phase, cause string) bool {
 	if phase > connlimit.ReadingHead {
-		go t.Close()
-	} else if !c.closeIfIdle(t) {
+		t.end(cause)
+	} else if !c.closeIfIdle(t, cause) {
 		since := t.headSince()
 		if since == 0 || !t.endLate(since) {
 			return false
 		}
-		go t.Close()
+		t.end(cause)
 	}
 	t.givenUp = true
 	c.closed(t.peer, cause)
--- a/gateway/internal/serve/tracked_conn.go
+++ b/gateway/internal/serve/tracked_conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -50,12 +51,20 @@
 	bodySince  atomic.Int64
 	writeSince atomic.Int64
 	kept       atomic.Bool // a request was answered on it
+	// decision is set once the gateway has decided to close the connection.
+	decision atomic.Pointer[closeDecision]
 	// head is the head that arrives, and headBytes the memory reserved for it. The server reads
 	// with one goroutine at a time.
 	head      connlimit.HeadCost
 	headBytes int64
 }
 
+// closeDecision is why the gateway closes a connection, and when it decided so.
+type closeDecision struct {
+	cause string
+	at    time.Time
+}
+
 // errClosing is the error of reads from a connection that the gateway closes. The server answers
 // other errors than those of the network with status 400.
 var errClosing = &net.OpError{
@@ -66,11 +75,15 @@
 
 // Read implements net.Conn. It returns nothing once the gateway closes the connection.
 func (t *trackedConn) Read(p []byte) (int, error) {
+	if t.state.Load() == connIdle {
+		t.awaitHead()
+	}
 	n, err := t.Conn.Read(p)
 	if n > 0 && t.state.Load() == connIdle {
 		t.state.CompareAndSwap(connIdle, time.Now().UnixNano())
 	}
 	if t.state.Load() == connClosing {
+		t.reportDropped(n)
 		return 0, errClosing
 	}
 	if n > 0 && t.state.Load() > 0 && !t.reserveHead(p[:n]) {
@@ -79,6 +92,31 @@
 	return n, err
 }
 
+// awaitHead waits until bytes have arrived and records that before they are taken from the kernel,
+// where endIdle looks for them. It does nothing if the connection has no socket.
+func (t *trackedConn) awaitHead() {
+	access := t.socket()
+	if access == nil {
+		return
+	}
+	// An error here is that of the read that follows, too.
+	_ = access.Read(func(fd uintptr) bool {
+		n, err := peekByte(fd)
+		if n > 0 {
+			t.state.CompareAndSwap(connIdle, time.Now().UnixNano())
+		}
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+}
+
+// reportDropped reports bytes that arrived and are dropped, since the gateway closes the
+// connection.
+func (t *trackedConn) reportDropped(n int) {
+	if e := t.decision.Load(); n > 0 && e != nil && t.conns != nil {
+		t.conns.dropped(t.peer, e.cause, time.Since(e.at))
+	}
+}
+
 // reserveHead reserves memory for bytes of a head that have arrived. It reports false if there
 // is none; the connection is then being closed.
 func (t *trackedConn) reserveHead(data []byte) bool {
@@ -91,7 +129,7 @@
 	}
 	if !t.conns.reserve(t, more) {
 		if since := t.headSince(); since > 0 && t.endLate(since) {
-			go t.Close()
+			t.end(connlimit.CauseMemory)
 		}
 		t.conns.closed(t.peer, connlimit.CauseMemory)
 		return false
@@ -117,26 +155,43 @@
 	return nil
 }
 
-// peek reports without waiting whether bytes have arrived that were not read, and whether the
-// caller closed or reset the connection and all bytes that it sent before were read.
-func (t *trackedConn) peek() (unread, closed bool) {
+// socket returns access to the connection's socket, or nil if it has none.
+func (t *trackedConn) socket() syscall.RawConn {
 	socket, ok := t.Conn.(syscall.Conn)
 	if !ok {
-		return false, false
+		return nil
 	}
 	access, err := socket.SyscallConn()
 	if err != nil {
-		return false, false
+		return nil
 	}
-	// Read would wait for the pending read of the server, Control does not.
-	if err := access.Control(func(fd uintptr) {
+	return access
+}
+
+// peekByte returns the number of bytes that a read of one byte would return, without waiting and
+// without taking it.
+func peekByte(fd uintptr) (int, error) {
+	for {
 		var one [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		if err != nil {
-			closed = err != syscall.EAGAIN && err != syscall.EINTR
-			return
+		if err != syscall.EINTR {
+			return n, err
 		}
-		unread, closed = n > 0, n == 0
+	}
+}
+
+// peek reports without waiting whether bytes have arrived that were not read, and whether the
+// caller closed or reset the connection and all bytes that it sent before were read.
+func (t *trackedConn) peek() (unread, closed bool) {
+	access := t.socket()
+	if access == nil {
+		return false, false
+	}
+	// Read would wait for the pending read of the server, Control does not.
+	if err := access.Control(func(fd uintptr) {
+		n, err := peekByte(fd)
+		unread = n > 0
+		closed = err == nil && n == 0 || err != nil && !errors.Is(err, syscall.EAGAIN)
 	}); err != nil {
 		return false, false
 	}
@@ -201,14 +256,28 @@
 	return t.state.CompareAndSwap(since, connClosing)
 }
 
+// end closes a connection that endIdle or endLate has ended, or whose request is given up. The server
+// then reports StateClosed. CloseWrite tells the caller at once. Close may wait for the reading
+// goroutine, so another goroutine calls it, which may start late on a busy host.
+func (t *trackedConn) end(cause string) {
+	t.decision.Store(&closeDecision{
+		cause: cause,
+		at:    time.Now(),
+	})
+	_ = t.CloseWrite() // fails only if the connection has ended already
+	go t.Close()
+}
+
 // trackingListener accepts connections as *trackedConn.
 type trackingListener struct {
 	net.Listener
 	conns *Conns
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It first waits for the end of connections that are given up, since
+// they have descriptors until then.
 func (l trackingListener) Accept() (net.Conn, error) {
+	l.conns.awaitRoom()
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
