--- a/bench/cmd/soak/main.go
+++ b/bench/cmd/soak/main.go
@@ -33,6 +33,7 @@
 	PowerLoss        bool     `help:"Draw losses of power of all hosts and replacements of hosts, too. Seeds then mean other faults."`
 	FinalPowerLoss   bool     `help:"End each run with a loss of power of all hosts, shortly after a change."`
 	SurvivableFaults bool     `help:"Draw full disks and series of hangup signals, too, which no process ends by. Seeds then mean other faults."`
+	CutOffs          bool     `help:"Cut gateways off from the controllers, too, and one near the end, whose streams must go on. Seeds then mean other faults. Needs --diskless."`
 	FaultAtStart     bool     `help:"Kill a controller at a drawn time of the first start, too. It is back within seconds, in half of the runs with an empty disk."`
 	Evacuations      bool     `help:"Evacuate availability zones in turn, too."`
 	KeepFirstStart   bool     `help:"Leave first_start in the settings after the first start."`
@@ -76,6 +77,7 @@
 		FinalPowerLoss:      c.FinalPowerLoss,
 		SurvivableFaults:    c.SurvivableFaults,
 		FaultAtStart:        c.FaultAtStart,
+		CutOffs:             c.CutOffs,
 		KeepFirstStart:      c.KeepFirstStart,
 		Evacuations:         c.Evacuations,
 		SoftwareVersions:    c.SoftwareVersions,
@@ -101,6 +103,9 @@
 	if c.Processes > maxProcesses {
 		return merry.Errorf("--processes is %d, accepted are at most %d", c.Processes, maxProcesses)
 	}
+	if c.CutOffs && c.Diskless == 0 {
+		return merry.New("--cut-offs needs --diskless")
+	}
 	bin, err := filepath.Abs(c.Bin)
 	if err != nil {
 		return merry.Prepend(err, "--bin")
@@ -179,6 +184,12 @@
 	if c.SurvivableFaults {
 		flags += " --survivable-faults"
 	}
+	if c.CutOffs {
+		flags += " --cut-offs"
+	}
+	if c.FaultAtStart {
+		flags += " --fault-at-start"
+	}
 	if c.Evacuations {
 		flags += " --evacuations"
 	}
--- a/bench/e2e/soak_test.go
+++ b/bench/e2e/soak_test.go
@@ -22,9 +22,9 @@
 }
 
 // Each run has its own loopback network 127.N.0.0/16, with N counting up from
-// firstNetwork+1. These lie above the networks of the tests of package soak and below
-// those of the soak program, which begin at 40, so that all can run at once.
-const firstNetwork = 30
+// firstNetwork+1. The tests of package soak have 8 to 18 and 27 to 33, those of this one 19 to 23
+// and 34 to 38, and the soak program others from 40 on, so that all can run at once.
+const firstNetwork = 33
 
 // TestSoak runs each seed for six seconds under random faults and checks every invariant.
 func TestSoak(t *testing.T) {
@@ -126,8 +126,36 @@
 	}
 }
 
+// cutOffsNetwork is the second byte of the loopback addresses of TestSoakCutsGatewaysOff.
+const cutOffsNetwork = 23
+
+// TestSoakCutsGatewaysOff guards against streams that can't be resumed since the gateway that began
+// them reached no controller of the group and has ended, with other faults before.
+func TestSoakCutsGatewaysOff(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	report, err := soak.Run(context.Background(), soak.Options{
+		Bin:                 binaries,
+		WorkFolder:          filepath.Join(t.TempDir(), "soak"),
+		Seed:                57001,
+		FaultDuration:       6 * time.Second,
+		Controllers:         3,
+		DisklessControllers: 2,
+		Gateways:            4,
+		Upstreams:           4,
+		Callers:             2,
+		Network:             cutOffsNetwork,
+		CutOffs:             true,
+	})
+	is.NoErr(err)
+	for _, v := range report.Violations {
+		t.Error(v)
+	}
+	t.Logf("%d attempts, ended %v, faults %s", report.Attempts, report.Outcomes, report.Faults)
+}
+
 // evacuationsNetwork is the second byte of the loopback addresses of TestSoakEvacuatesZones.
-const evacuationsNetwork = 18
+const evacuationsNetwork = 19
 
 // TestSoakEvacuatesZones runs a seed in which an operator evacuates availability zones under
 // random faults, and checks that they get no requests and that all controllers return what was
--- a/bench/internal/soak/ending.go
+++ b/bench/internal/soak/ending.go
@@ -15,10 +15,7 @@
 	f := s.faults
 	defer f.lockHosts()()
 	random := rand.New(rand.NewPCG(s.options.Seed, 2))
-	f.mu.Lock()
-	calm := f.calmUntil
-	f.mu.Unlock()
-	time.Sleep(time.Until(calm))
+	f.awaitCalm()
 	s.operator.mu.Lock()
 	s.operator.addRoute = true
 	before := s.operator.version
--- a/bench/internal/soak/faults.go
+++ b/bench/internal/soak/faults.go
@@ -27,6 +27,9 @@
 	// writing while no such fault may act.
 	calm sync.RWMutex
 
+	// cutting is held while a gateway is cut off.
+	cutting sync.Mutex
+
 	mu     sync.Mutex
 	counts map[string]int
 	// No data may be lost before calmUntil. Moved is the number of changed addresses.
@@ -98,6 +101,9 @@
 	if f.soak.options.SurvivableFaults {
 		kinds = append(kinds, survivableFaultKinds...)
 	}
+	if f.soak.options.CutOffs {
+		kinds = append(kinds, cutOffFaultKinds...)
+	}
 	var group sync.WaitGroup
 	for series := range faultSeries {
 		group.Go(func() {
--- a/bench/internal/soak/out_of_step_test.go
+++ b/bench/internal/soak/out_of_step_test.go
@@ -1,11 +1,8 @@
 package soak
 
 import (
-	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -25,16 +22,12 @@
 
 // Times of a release during which a host is out of step.
 const (
-	calmTime      = 1500 * time.Millisecond
 	outOfStepTime = 4 * time.Second
 	// beginTime is the time from the release until streams of the new version are broken. It
 	// allows for an election.
 	beginTime = 3 * time.Second
-	afterTime = 3 * time.Second
 	// releasePause is the time between the starts of two upstreams of the new version.
 	releasePause = 100 * time.Millisecond
-	// streamPause makes streams last a second or two.
-	streamPause = 15 * time.Millisecond
 )
 
 // TestHostOutOfStepDuringRelease guards against streams that begin at upstreams of a new software
@@ -68,11 +61,7 @@
 				Network:          outOfStepNetwork,
 				SoftwareVersions: []string{"v1"},
 			})
-			for _, u := range s.upstreams {
-				u.mu.Lock()
-				u.eventPause = streamPause
-				u.mu.Unlock()
-			}
+			s.lengthenStreams()
 			load := startTakeUps(ctx, s, []int{1, 2}, 0)
 			time.Sleep(calmTime)
 			leader := s.leader(t)
@@ -112,11 +101,7 @@
 		SoftwareVersions: []string{"v1"},
 	})
 	released := s.upstreams[:len(s.upstreams)/2]
-	for _, u := range s.upstreams {
-		u.mu.Lock()
-		u.eventPause = streamPause
-		u.mu.Unlock()
-	}
+	s.lengthenStreams()
 	end := standStill(s.fleet.gateways[0], s.fleet.controllers[s.leader(t)])
 	setDraining(released, true)
 	time.Sleep(drainedTime)
@@ -215,103 +200,3 @@
 		u.mu.Unlock()
 	}
 }
-
-// breakStreams kills a gateway and starts it again.
-func (s *Soak) breakStreams(gateway int) {
-	p := s.fleet.gateways[gateway]
-	end := p.faultTimes.begin()
-	p.kill()
-	s.faults.startProcess(p)
-	end()
-}
-
-// takeUps is the load of callers that begin streams at some gateways and take them up at another
-// one.
-type takeUps struct {
-	takeUpAt int
-	cancel   context.CancelFunc
-	group    sync.WaitGroup
-	mu       sync.Mutex
-	counts   struct {
-		// takenUp are the streams that were taken up, wentOn those that went on, ofNewVersion
-		// those that were taken up and had begun at the new version, newWentOn those of them
-		// that went on.
-		takenUp, wentOn, ofNewVersion, newWentOn int
-	}
-}
-
-// startTakeUps starts callers.
-func startTakeUps(ctx context.Context, s *Soak, beginAt []int, takeUpAt int) *takeUps {
-	calling, cancel := context.WithCancel(ctx)
-	l := &takeUps{
-		takeUpAt: takeUpAt,
-		cancel:   cancel,
-	}
-	for i := range 36 {
-		c := &caller{
-			soak:    s,
-			gateway: beginAt[i%len(beginAt)],
-			random:  rand.New(rand.NewPCG(s.options.Seed, uint64(i))),
-		}
-		l.group.Go(func() {
-			defer c.disconnect()
-			for calling.Err() == nil {
-				l.call(calling, c, i)
-				time.Sleep(20 * time.Millisecond)
-			}
-		})
-	}
-	return l
-}
-
-// stop stops the callers and waits until they have ended.
-func (l *takeUps) stop() {
-	l.cancel()
-	l.group.Wait()
-}
-
-// call begins a stream and takes it up if it breaks off.
-func (l *takeUps) call(ctx context.Context, c *caller, index int) {
-	home := c.gateway
-	a := c.newAttempt()
-	a.Kind, a.Key, a.Events = Chat, permanentKeys[index%2], maxEvents
-	c.send(a)
-	if a.Status != http.StatusOK || a.Complete || lastEvent(a) == 0 {
-		return
-	}
-	c.soak.ledger.mu.Lock()
-	isNew := originVersion(a) != "v1"
-	c.soak.ledger.mu.Unlock()
-	wentOn := c.takeUpAt(ctx, l.takeUpAt, a)
-	c.disconnect()
-	c.gateway = home
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.counts.takenUp++
-	if isNew {
-		l.counts.ofNewVersion++
-	}
-	if wentOn {
-		l.counts.wentOn++
-	}
-	if isNew && wentOn {
-		l.counts.newWentOn++
-	}
-}
-
-// takeUpAt takes a stream up at a gateway until it goes on or the caller's time is over, and
-// reports whether it went on.
-func (c *caller) takeUpAt(ctx context.Context, gateway int, origin *Attempt) bool {
-	for ctx.Err() == nil && time.Since(origin.Sent) < callerTimeout {
-		c.disconnect()
-		c.gateway = gateway
-		next := c.newAttempt()
-		next.Kind, next.Key, next.Events, next.Origin, next.After = Chat, origin.Key, origin.Events, origin, lastEvent(origin)
-		c.send(next)
-		if next.Status == http.StatusOK {
-			return true
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	return false
-}
--- a/bench/internal/soak/powerloss.go
+++ b/bench/internal/soak/powerloss.go
@@ -75,6 +75,14 @@
 	return !time.Now().Before(f.calmUntil)
 }
 
+// awaitCalm waits until all earlier losses of data are made good.
+func (f *faults) awaitCalm() {
+	f.mu.Lock()
+	calm := f.calmUntil
+	f.mu.Unlock()
+	time.Sleep(time.Until(calm))
+}
+
 // awaitCatchUp waits until a host that is back now no longer counts as lost.
 func (f *faults) awaitCatchUp(random *rand.Rand) {
 	time.Sleep(catchUpTime + randomDuration(random, maxExtraCalm))
--- a/bench/internal/soak/relay.go
+++ b/bench/internal/soak/relay.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"net"
 	"sync"
 	"time"
@@ -15,9 +16,10 @@
 	listener    net.Listener
 	connections map[*connection]bool
 	delay       time.Duration
-	silent      bool // new connections are silent
-	down        bool // the host is without power: connections are silent and dialed in vain
-	oneWay      bool // nothing is forwarded to clients
+	silent      bool   // new connections are silent
+	down        bool   // the host is without power: connections are silent and dialed in vain
+	oneWay      bool   // nothing is forwarded to clients
+	cutOff      string // the process whose connections are silent; empty if there is none
 	faultTimes  intervals
 }
 
@@ -26,8 +28,14 @@
 	relay          *Relay
 	client, server net.Conn
 	silent         bool // guarded by the relay's mu
+	// head is what the client sent first, at most headBytes; it names the client. Guarded by
+	// the relay's mu.
+	head []byte
 }
 
+// headBytes is the number of bytes within which a client names itself.
+const headBytes = 4 << 10
+
 // NewRelay starts a relay that listens on an address and forwards to a target.
 func NewRelay(address, target string) (*Relay, error) {
 	l, err := net.Listen("tcp", address)
@@ -90,6 +98,20 @@
 	})
 }
 
+// CutOff makes the connections of the process with a name silent, those that are open and new
+// ones. An empty name ends it for new ones.
+func (r *Relay) CutOff(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cutOff = name
+}
+
+// isCutOff reports whether the client of the connection is the process that is cut off. It is
+// called with the relay's mu held.
+func (c *connection) isCutOff() bool {
+	return c.relay.cutOff != "" && bytes.Contains(c.head, []byte(c.relay.cutOff))
+}
+
 // Move has the relay listen on another address and closes its connections.
 func (r *Relay) Move(address string) error {
 	r.Close()
@@ -147,6 +169,10 @@
 	for {
 		n, err := from.Read(buffer)
 		c.relay.mu.Lock()
+		if !toClient {
+			c.head = append(c.head, buffer[:min(n, headBytes-len(c.head))]...)
+		}
+		c.silent = c.silent || c.isCutOff()
 		discard := c.silent || (toClient && c.relay.oneWay)
 		delay := c.relay.delay
 		c.relay.mu.Unlock()
--- a/bench/internal/soak/soak.go
+++ b/bench/internal/soak/soak.go
@@ -48,6 +48,9 @@
 	// SurvivableFaults adds the faults of survivableFaultKinds, in which no process ends, to
 	// those before. With FinalPowerLoss, a full disk comes shortly before the end.
 	SurvivableFaults bool
+	// CutOffs adds the faults of cutOffFaultKinds to those before, and a last one near the end. It
+	// needs a controller without a disk.
+	CutOffs bool
 	// FaultAtStart kills a controller with a disk at a drawn time of the first start. It is back
 	// within seconds, in half of the runs with an empty disk.
 	FaultAtStart bool
@@ -248,6 +251,9 @@
 	cancel()
 	stopOperator()
 	operatorGroup.Wait()
+	if s.options.CutOffs {
+		s.endWithCutOff(ctx)
+	}
 	if s.options.FinalPowerLoss {
 		s.endWithPowerLoss(ctx)
 	}
--- a/controller/internal/node/unary.go
+++ b/controller/internal/node/unary.go
@@ -128,3 +128,9 @@
 func (u *Unary) Join(context.Context, *rpc.JoinRequest) (*rpc.JoinReply, error) {
 	return nil, twirp.NewError(twirp.Unimplemented, "members are changed by operators")
 }
+
+// RecordStreams implements rpc.Controller. It returns Unimplemented, since the gateways of this
+// group keep no streams.
+func (u *Unary) RecordStreams(context.Context, *rpc.RecordStreamsRequest) (*rpc.RecordStreamsReply, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "streams are not recorded")
+}
--- a/controller/internal/peer/fleet_test.go
+++ b/controller/internal/peer/fleet_test.go
@@ -244,7 +244,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	mux := http.NewServeMux()
 	mux.Handle("GET "+wire.PathReplica, h.member.Handler())
-	unary := rpc.NewControllerServer(NewUnary(h.member, h.forward))
+	unary := rpc.NewControllerServer(NewUnary(h.member, h.forward, nil))
 	mux.Handle(unary.PathPrefix(), unary)
 	server := program.NewServer(mux)
 	var running sync.WaitGroup
--- a/controller/internal/peer/unary.go
+++ b/controller/internal/peer/unary.go
@@ -8,6 +8,7 @@
 
 	"baobabpaddle/fleet/controller/rpc"
 	"baobabpaddle/fleet/membership"
+	"baobabpaddle/fleet/origin"
 	"baobabpaddle/fleet/raft"
 	"baobabpaddle/fleet/state"
 )
@@ -22,17 +23,27 @@
 	Execute(ctx context.Context, command state.Command, hops uint32) (state.Result, error)
 }
 
-// Unary implements the unary calls of rpc.Controller for other controllers.
+// StreamRecorder has the origins of streams recorded, and holds them until they are. Record
+// reports whether they are durable.
+type StreamRecorder interface {
+	Record(ctx context.Context, batches []origin.Batch) bool
+}
+
+// Unary implements the unary calls of rpc.Controller for other controllers, and RecordStreams
+// for gateways.
 type Unary struct {
 	member   *Member
 	executor Executor
+	streams  StreamRecorder
 }
 
-// NewUnary returns the calls served by a member; executor executes their commands.
-func NewUnary(member *Member, executor Executor) *Unary {
+// NewUnary returns the calls served by a member; executor executes their commands and streams
+// records the streams of gateways.
+func NewUnary(member *Member, executor Executor, streams StreamRecorder) *Unary {
 	return &Unary{
 		member:   member,
 		executor: executor,
+		streams:  streams,
 	}
 }
 
@@ -108,6 +119,18 @@
 	return reply, nil
 }
 
+// RecordStreams implements rpc.Controller: it records what began the streams of a gateway, or
+// holds it until the leader can.
+func (u *Unary) RecordStreams(ctx context.Context, request *rpc.RecordStreamsRequest) (*rpc.RecordStreamsReply, error) {
+	var batches []origin.Batch
+	if err := state.Decode(request.GetBatches(), &batches); err != nil {
+		return nil, twirp.InvalidArgumentError("batches", err.Error())
+	}
+	return &rpc.RecordStreamsReply{
+		Recorded: u.streams.Record(ctx, batches),
+	}, nil
+}
+
 // LookupTeam implements rpc.Controller. It returns Unimplemented, since gateways of a
 // fleet that discovers its members get the teams with the configuration.
 func (u *Unary) LookupTeam(context.Context, *rpc.LookupTeamRequest) (*rpc.LookupTeamReply, error) {
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -51,6 +51,7 @@
 	member   *peer.Member
 	hub      *gateway.Hub
 	forward  *forward.Forwarder
+	streams  *gateway.StreamHolder
 	metrics  *telemetry.Metrics
 	stats    *link.Stats
 	// listReadAt is when the platform's list was last read, in Unix nanoseconds.
@@ -100,6 +101,7 @@
 	go program.WatchPauses(ctx, log)
 	go p.peers.Run(ctx)
 	go p.hub.Run(ctx)
+	go p.streams.Run(ctx)
 	go p.pollUpstreams(ctx)
 	log.Info("controller started", "listen", s.listen(), "disk", s.DataFolder != "", "first_start", s.FirstStart)
 	go func() {
@@ -157,17 +159,22 @@
 		Slack:  s.ColdSlack,
 	})
 	p.forward = forward.New(p.member, cred)
+	p.streams = gateway.NewStreamHolder(p.forward, log)
 	p.registerMetrics()
 	return p
 }
 
+// recordStreamsMethod is the unary call of gateways.
+const recordStreamsMethod = "RecordStreams"
+
 // handler returns the routes for the fleet's processes.
 func (p *serveProcess) handler(ctx context.Context, cred *credential.Credential, dialer link.Dialer) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+wire.PathReplica, cred.Require(p.member.Handler(), credential.Controller))
 	mux.Handle("GET "+wire.PathServe, cred.Require(p.hub.Handler(ctx, dialer), credential.Gateway))
-	unary := rpc.NewControllerServer(peer.NewUnary(p.member, p.forward))
+	unary := rpc.NewControllerServer(peer.NewUnary(p.member, p.forward, p.streams))
 	mux.Handle(unary.PathPrefix(), cred.Require(unary, credential.Controller))
+	mux.Handle(unary.PathPrefix()+recordStreamsMethod, cred.Require(unary, credential.Gateway))
 	return mux
 }
 
--- a/gateway/internal/controller/link.go
+++ b/gateway/internal/controller/link.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -29,7 +28,7 @@
 	// the leader may know the software version. Without the leader it would be refused.
 	originTimeout = 300 * time.Millisecond
 	// maxReportedStreams is the number of streams that are reported to a leader when the
-	// gateway links to it.
+	// gateway links to it, apart from those that no leader has confirmed.
 	maxReportedStreams = 4096
 	// flushInterval bounds the delay of reports on answers that began or ended.
 	flushInterval  = 5 * time.Millisecond
@@ -43,6 +42,8 @@
 	Name string
 	// Zone is the gateway's availability zone.
 	Zone string
+	// Host is the address of the gateway's host, without a port, or empty if it is not known.
+	Host string
 	// Seeds are the addresses of some controllers.
 	Seeds []string
 	// ProofLifetime is how long teams' keys are served after a ping that the leader has
@@ -68,7 +69,7 @@
 }
 
 // event is handled by the control goroutine. Exactly one of place, started, begun, ended,
-// notice, limit, linked, lost and frame is set.
+// notice, limit, relayed, linked, lost and frame is set.
 type event struct {
 	place     *dispatch.Request
 	reply     reply
@@ -78,6 +79,7 @@
 	ended     *wire.Ended
 	notice    *dispatch.Notice
 	limit     *dispatch.RateLimitReport
+	relayed   *relayed
 	linked    *link.Conn[wire.Serve]
 	leader    leader // with linked
 	lost      *link.Conn[wire.Serve]
@@ -86,6 +88,13 @@
 	from      *link.Conn[wire.Serve] // with frame
 }
 
+// sentPing is a ping that was sent to the leader.
+type sentPing struct {
+	at steady.Time
+	// reported is the position in Link.unconfirmed up to which streams were reported before.
+	reported uint64
+}
+
 // waiting is a request that waits for the leader's decision.
 type waiting struct {
 	request  dispatch.Request
@@ -113,12 +122,15 @@
 	originOrder []uint64
 	// allowance counts the local placements of requests that continue streams.
 	allowance origin.Allowance
-	// begun are the origins of the streams that this gateway has forwarded.
-	begun *origin.Register
+	// begun are the origins of the streams that this gateway has forwarded, and unconfirmed
+	// those of them that no leader has confirmed to have received.
+	begun       *origin.Register
+	unconfirmed origin.Pending
+	relay       relay
 	// evacuations are the evacuated availability zones.
 	evacuations evacuation.Follower
-	outgoing    wire.Serve             // the next frame, not sent yet
-	pingTimes   map[uint64]steady.Time // when unanswered pings were sent, by number
+	outgoing    wire.Serve          // the next frame, not sent yet
+	pings       map[uint64]sentPing // unanswered, by number
 	lastPing    uint64
 	version     uint64 // of the configuration in force
 	// snapshot is the configuration in force, nil without one.
@@ -146,7 +158,8 @@
 		scheduler: dispatch.New(dispatch.Settings{}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		begun:     origin.NewRegister(),
 		waiting:   make(map[uint64]waiting),
-		pingTimes: make(map[uint64]steady.Time),
+		pings:     make(map[uint64]sentPing),
+		relay:     newRelay(settings.Host, dialer.Credential),
 	}
 	l.view.Store(&View{
 		Gateways: 1,
@@ -196,6 +209,8 @@
 	go l.maintain(ctx)
 	pings := time.NewTicker(pingInterval)
 	defer pings.Stop()
+	relays := time.NewTicker(relayInterval)
+	defer relays.Stop()
 	flush := time.NewTimer(time.Hour)
 	defer flush.Stop()
 	armed := false
@@ -209,6 +224,8 @@
 		case now := <-pings.C:
 			l.sendPing()
 			l.logObservations(now)
+		case <-relays.C:
+			l.relayStreams(ctx)
 		case <-flush.C:
 			armed = false
 			l.decideExpired(time.Now())
@@ -265,7 +282,10 @@
 			l.outgoing.Started = append(l.outgoing.Started, e.started)
 		}
 	case e.begun != nil:
-		l.begun.Record(time.Now(), e.begun.stream, e.begun.origin)
+		now := time.Now()
+		l.begun.Record(now, e.begun.stream, e.begun.origin)
+		l.unconfirmed.Expire(now)
+		l.unconfirmed.Add(now, e.begun.stream, e.begun.origin)
 		if l.conn != nil {
 			l.outgoing.Begun = origin.AppendBatch(l.outgoing.Begun, e.begun.stream, e.begun.origin)
 		}
@@ -285,6 +305,8 @@
 		if l.conn != nil {
 			l.outgoing.RateLimits = append(l.outgoing.RateLimits, *e.limit)
 		}
+	case e.relayed != nil:
+		l.handleRelayed(*e.relayed)
 	case e.linked != nil:
 		l.handleLinked(e.linked, e.leader)
 	case e.lost != nil:
@@ -302,65 +324,6 @@
 	}
 }
 
-// handleLinked makes a new link the one in use. It reports the requests in flight and the
-// upstreams' notices, and if the leader or its term has changed also the teams' accounts,
-// which the last leader already has.
-func (l *Link) handleLinked(c *link.Conn[wire.Serve], next leader) {
-	if l.conn != nil {
-		l.conn.Close()
-	}
-	l.conn = c
-	l.outgoing = wire.Serve{}
-	for _, p := range l.scheduler.Placements() {
-		l.outgoing.InFlight = append(l.outgoing.InFlight, wire.InFlight{
-			ID:       p.ID,
-			Upstream: p.Upstream,
-			Team:     p.Team,
-			Prompt:   p.Prompt,
-			Digest:   p.Digest,
-			Started:  p.Started,
-			Counted:  true,
-		})
-	}
-	l.outgoing.UpstreamNotices = l.scheduler.Notices(time.Now())
-	l.outgoing.RateLimits = l.scheduler.RateLimitReports()
-	l.outgoing.Cold = l.scheduler.ColdReports(time.Now())
-	l.outgoing.Quarantine = l.scheduler.Quarantine().Records(time.Now())
-	l.outgoing.Begun = l.begun.Latest("", maxReportedStreams)
-	l.scheduler.SetFollowing(true)
-	if next != l.lastLeader {
-		l.refusals.reset()
-		l.outgoing.Accounts = l.scheduler.Accounts(time.Now())
-		l.lastLeader = next
-	}
-	l.flush()
-	l.sendPing()
-	l.setLeader(next.address)
-	l.log.Info("linked to the leader", "leader", next.address, "term", next.term, "configuration", l.version, "at_upstreams", len(l.scheduler.Placements()))
-}
-
-// handleLost stops using a link that failed, and decides locally on all waiting requests.
-func (l *Link) handleLost(c *link.Conn[wire.Serve], cause error) {
-	if l.conn != c {
-		return
-	}
-	l.conn = nil
-	l.scheduler.SetFollowing(false)
-	l.outgoing = wire.Serve{}
-	clear(l.pingTimes)
-	now := time.Now()
-	for _, id := range slices.Concat(l.waitingOrder, l.originOrder) {
-		if w, ok := l.waiting[id]; ok {
-			delete(l.waiting, id)
-			l.decideLocally(now, w)
-		}
-	}
-	l.waitingOrder, l.originOrder = nil, nil
-	l.log.Warn("link to the leader lost", "cause", cause, "configuration", l.version,
-		"proof_left_ms", l.view.Load().ProvenUntil.Sub(steady.Now()).Milliseconds(), "leader", l.view.Load().Leader)
-	l.setLeader("")
-}
-
 // updateRateLimits stores the scheduler's rate limits in the view if they have changed. It
 // logs the changes while there is no leader, which logs those of the whole fleet.
 func (l *Link) updateRateLimits() {
@@ -389,7 +352,10 @@
 		return
 	}
 	l.lastPing++
-	l.pingTimes[l.lastPing] = steady.Now()
+	l.pings[l.lastPing] = sentPing{
+		at:       steady.Now(),
+		reported: l.unconfirmed.End(),
+	}
 	l.outgoing.Ping = l.lastPing
 	l.outgoing.Refused = l.refusals.take()
 	l.outgoing.Room = l.room.Load()
--- a/gateway/internal/controller/receive.go
+++ b/gateway/internal/controller/receive.go
@@ -55,13 +55,14 @@
 		changed = true
 	}
 	if f.Pong != 0 {
-		if sentAt, ok := l.pingTimes[f.Pong]; ok {
-			next.ProvenUntil = max(next.ProvenUntil, sentAt.Add(l.settings.ProofLifetime))
+		if ping, ok := l.pings[f.Pong]; ok {
+			next.ProvenUntil = max(next.ProvenUntil, ping.at.Add(l.settings.ProofLifetime))
+			l.unconfirmed.Confirm(ping.reported)
 			changed = true
 		}
-		for n := range l.pingTimes {
+		for n := range l.pings {
 			if n <= f.Pong {
-				delete(l.pingTimes, n)
+				delete(l.pings, n)
 			}
 		}
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -117,6 +117,7 @@
 		// two runs of the process.
 		Name:          s.Name + "/" + strconv.FormatInt(time.Now().UnixNano(), 36),
 		Zone:          s.Zone,
+		Host:          s.host(),
 		Seeds:         s.controllerAddresses(),
 		ProofLifetime: s.proofLifetime(),
 	}, link.Dialer{
--- a/gateway/serve_settings.go
+++ b/gateway/serve_settings.go
@@ -152,6 +152,15 @@
 	return out
 }
 
+// host returns the address at which callers reach this host, or empty if it listens on all.
+func (s *ServeSettings) host() string {
+	listen, err := netip.ParseAddrPort(s.Listen)
+	if err != nil || listen.Addr().IsUnspecified() {
+		return ""
+	}
+	return listen.Addr().String()
+}
+
 // proofLifetime returns how long teams' keys are served after a proof that the configuration
 // was the newest.
 func (s *ServeSettings) proofLifetime() time.Duration {
