--- a/controller/internal/gateway/hub.go
+++ b/controller/internal/gateway/hub.go
@@ -54,14 +54,15 @@
 }
 
 // event is an input of the control goroutine. One of its fields is set, except
-// that from and frame, and upstreams and listTerm, go together.
+// that from and frame, and upstreams, listTerm and listAsOf, go together.
 type event struct {
 	opened         *conn
 	closed         *conn
 	from           *conn
 	frame          wire.Serve
 	upstreams      []dispatch.Upstream
-	listTerm       Term // with upstreams: the term in which the list was read
+	listTerm       Term      // with upstreams: the term in which the list was read
+	listAsOf       time.Time // with upstreams: the time whose state the list shows
 	confirmedPings []ping
 	// confirmedContinuations are requests for which the state was read with the confirmation of a
 	// majority.
@@ -113,7 +114,11 @@
 	allowance origin.Allowance
 	// listed is the platform's list as it was read last. The published one lacks upstreams
 	// whose software versions are not recorded.
-	listed  []dispatch.Upstream
+	listed []dispatch.Upstream
+	// listAsOf is the time whose state listed shows; zero if it is not known.
+	listAsOf time.Time
+	// doubted are the upstreams whose software versions were uncertain when listed was read.
+	doubted []string
 	sampler *metricsSampler
 	// servingSince is when a gateway connected while there was no other.
 	servingSince time.Time
@@ -245,6 +250,7 @@
 	case e.upstreams != nil:
 		if e.listTerm == h.term {
 			h.setUpstreams(e.upstreams)
+			h.confirmList(e.listAsOf)
 		}
 	case e.confirmedContinuations != nil:
 		for _, t := range e.confirmedContinuations {
@@ -260,6 +266,7 @@
 				Pong:            p.sequence,
 				TrafficFraction: h.trafficFraction(p.conn),
 				ZoneRoom:        h.zoneView(time.Now(), p.conn),
+				ListAge:         h.listAge(time.Now()),
 			})
 		}
 	case e.configuration != nil:
--- a/controller/internal/gateway/receive.go
+++ b/controller/internal/gateway/receive.go
@@ -39,6 +39,7 @@
 	h.recordRoom(now, c, frame.Room)
 	h.scheduler.LearnCold(now, frame.Cold)
 	h.receiveBegun(now, frame.Begun)
+	h.scheduler.DoubtVersions(now, frame.DoubtedVersions)
 	for _, t := range frame.ServiceTimes {
 		key.ID = t.ID
 		h.scheduler.RecordServiceTime(now, key, t.Duration())
--- a/controller/internal/gateway/term.go
+++ b/controller/internal/gateway/term.go
@@ -89,6 +89,7 @@
 	h.replies = make(map[*conn][]dispatch.Decision)
 	h.upstreams = nil
 	h.origins, h.listed = nil, nil
+	h.listAsOf, h.doubted = time.Time{}, nil
 	h.originsFailed = false
 	h.nextListRequest = time.Time{}
 	h.rateLimits = nil
--- a/controller/internal/gateway/term_test.go
+++ b/controller/internal/gateway/term_test.go
@@ -217,7 +217,7 @@
 	h := newTermHub(t)
 	g := h.dialGateway()
 	g.await("welcome", isWelcome)
-	h.SetUpstreams(t.Context(), h.Term(), listOf("former"))
+	h.SetUpstreams(t.Context(), h.Term(), time.Time{}, listOf("former"))
 	g.await("list of the first term", hasList)
 	g.Close()
 	for h.GatewayCount() > 0 {
@@ -228,7 +228,7 @@
 	welcome := g.await("welcome", isWelcome)
 	is.Equal(welcome.Welcome.Term, h.replicas.Replica().Status().Term)
 	is.True(welcome.Upstreams == nil) // the list was not read in this term
-	h.SetUpstreams(t.Context(), h.Term(), listOf("present"))
+	h.SetUpstreams(t.Context(), h.Term(), time.Time{}, listOf("present"))
 	list, _ := g.await("list of the second term", hasList).Upstreams.Apply(nil)
 	is.Equal(len(list), 1)
 	is.Equal(list["present"].ID, "present")
@@ -239,7 +239,7 @@
 // isn't recorded yet.
 func TestListBeforeTheFirstLink(t *testing.T) {
 	h := newQueuedTermHub(t)
-	h.SetUpstreams(t.Context(), h.Term(), listOf("u1"))
+	h.SetUpstreams(t.Context(), h.Term(), time.Time{}, listOf("u1"))
 	g := h.dialGateway()
 	for len(h.events) < 2 {
 		time.Sleep(time.Millisecond)
@@ -256,14 +256,14 @@
 	h := newTermHub(t)
 	former := h.Term()
 	g := h.dialGateway()
-	h.SetUpstreams(t.Context(), former, listOf("former"))
+	h.SetUpstreams(t.Context(), former, time.Time{}, listOf("former"))
 	g.await("list of the first term", hasList) // so its version is recorded
 	h.replaceReplica()
 	g.awaitEnd("the link of the first term is open in the next")
 	g = h.dialGateway()
 	g.await("welcome", isWelcome)
-	h.SetUpstreams(t.Context(), former, listOf("former"))
-	h.SetUpstreams(t.Context(), h.Term(), listOf("present"))
+	h.SetUpstreams(t.Context(), former, time.Time{}, listOf("former"))
+	h.SetUpstreams(t.Context(), h.Term(), time.Time{}, listOf("present"))
 	list, _ := g.await("list", hasList).Upstreams.Apply(nil)
 	is.Equal(len(list), 1)
 	is.Equal(list["present"].ID, "present")
@@ -333,7 +333,7 @@
 	h.t.Helper()
 	g := h.dialGateway()
 	g.await("welcome", isWelcome)
-	h.SetUpstreams(h.t.Context(), h.Term(), append(listOf("u1"), listOf("u2")...))
+	h.SetUpstreams(h.t.Context(), h.Term(), time.Time{}, append(listOf("u1"), listOf("u2")...))
 	g.await("list", hasList)
 	return g
 }
--- a/controller/internal/gateway/upstreams.go
+++ b/controller/internal/gateway/upstreams.go
@@ -16,14 +16,37 @@
 const listRequestInterval = 150 * time.Millisecond
 
 // SetUpstreams replaces the list of upstreams by the platform's, which was read in the
-// given term, as long as that term lasts. It waits while the event queue is full.
-func (h *Hub) SetUpstreams(ctx context.Context, read Term, list []dispatch.Upstream) {
+// given term, as long as that term lasts. The list shows what was true at asOf; the zero time
+// means that it is not known. It waits while the event queue is full.
+func (h *Hub) SetUpstreams(ctx context.Context, read Term, asOf time.Time, list []dispatch.Upstream) {
 	h.post(ctx, event{
 		upstreams: list,
 		listTerm:  read,
+		listAsOf:  asOf,
 	})
 }
 
+// confirmList records that the list, which was published, shows what was true at a time.
+func (h *Hub) confirmList(asOf time.Time) {
+	h.listAsOf = asOf
+	h.scheduler.ConfirmVersions(asOf)
+	doubted := h.scheduler.DoubtedVersions()
+	slices.Sort(doubted)
+	if !slices.Equal(doubted, h.doubted) {
+		h.log.Info("upstreams with uncertain software versions changed", "count", len(doubted), "before", len(h.doubted), "upstreams", doubted)
+		h.doubted = doubted
+	}
+}
+
+// listAge returns how long ago the state was true that the published list shows; zero if that is
+// not known.
+func (h *Hub) listAge(now time.Time) time.Duration {
+	if h.listAsOf.IsZero() {
+		return 0
+	}
+	return now.Sub(h.listAsOf)
+}
+
 // requestList requests the platform's list unless there is one or a request was made
 // within listRequestInterval.
 func (h *Hub) requestList(now time.Time) {
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -194,10 +194,11 @@
 	failed := false
 	for {
 		if term := p.hub.Term(); term.Leads() {
+			asOf := time.Now().Add(-p.settings.listLag())
 			upstreams, err := list.Upstreams(ctx)
 			if err == nil {
 				p.listReadAt.Store(time.Now().UnixNano())
-				p.hub.SetUpstreams(ctx, term, upstreams)
+				p.hub.SetUpstreams(ctx, term, asOf, upstreams)
 			}
 			if failed != (err != nil) {
 				failed = err != nil
--- a/controller/serve_settings.go
+++ b/controller/serve_settings.go
@@ -52,6 +52,9 @@
 	Limits HeldLimits `json:"limits,omitempty"`
 	// ListAddress is the address at which the platform serves its list of upstreams.
 	ListAddress string `json:"list_address"`
+	// ListLagMillis is how long after a change the platform's list shows it, at most; zero means
+	// defaultListLag.
+	ListLagMillis float64 `json:"list_lag_ms,omitempty"`
 	// ColdExcess and ColdSlack are what the platform tolerates at cold upstreams: in a second
 	// ColdExcess times the requests that their service declares, and ColdSlack more. Zero means
 	// that it isn't known.
@@ -66,6 +69,7 @@
 	maxPort           = 65535
 	maxToleratedHosts = 3
 	maxMemoryMB       = 1 << 20
+	maxListLagMillis  = 60_000
 )
 
 // Check implements settings.Checker.
@@ -88,6 +92,7 @@
 		s.Limits.Check(),
 		settings.Address("list_address", s.ListAddress),
 		s.checkCold(),
+		s.checkListLag(),
 		s.Credential.Check(),
 	)
 }
@@ -100,6 +105,14 @@
 	return nil
 }
 
+// checkListLag checks ListLagMillis.
+func (s *ServeSettings) checkListLag() error {
+	if s.ListLagMillis < 0 || s.ListLagMillis > maxListLagMillis {
+		return merry.Errorf("list_lag_ms: must be from 0 to %d", maxListLagMillis)
+	}
+	return nil
+}
+
 // peerAddress returns the address by which the fleet's processes reach this controller.
 func (s *ServeSettings) peerAddress() string { return s.Address + ":" + strconv.Itoa(s.Port) }
 
@@ -120,6 +133,14 @@
 	return out
 }
 
+// listLag returns how long after a change the platform's list shows it.
+func (s *ServeSettings) listLag() time.Duration {
+	if s.ListLagMillis > 0 {
+		return time.Duration(s.ListLagMillis * float64(time.Millisecond))
+	}
+	return defaultListLag
+}
+
 // Timings and limits of `controller serve`. The timings are shorter than the defaults,
 // since gateways stop serving keys a few seconds after the last proof that their
 // configuration is the newest.
@@ -137,4 +158,6 @@
 	serveMaxLogBytes = 8 << 20
 	// listInterval is the pause between two reads of the platform's list by the leader.
 	listInterval = 700 * time.Millisecond
+	// defaultListLag allows for a platform whose list is brought up to date every second.
+	defaultListLag = time.Second
 )
--- a/fleet/dispatch/placement.go
+++ b/fleet/dispatch/placement.go
@@ -152,6 +152,9 @@
 	p.startedAt = now
 	s.noteStart(now, key, p)
 	s.recordReceived(now, p)
+	if p.start == p.engine.starts {
+		p.noteAnswer(now)
+	}
 	if !p.prefilling {
 		return
 	}
@@ -232,6 +235,7 @@
 	if p.start != e.starts {
 		return
 	}
+	p.doubtVersion(now, outcome)
 	if outcome == NotRun && e.pacer.limited() {
 		e.probing = false // it enforces its limit, which is no failure
 		return
--- a/fleet/dispatch/request.go
+++ b/fleet/dispatch/request.go
@@ -121,6 +121,11 @@
 	// Version is the software version that began the stream that the request continues; empty
 	// if it is not known or the request continues none.
 	Version string `cbor:"9,keyasint,omitempty"`
+	// VersionUncertain reports that the chosen upstream may run another software version than
+	// the list shows. It is set for requests that begin a stream which can be resumed.
+	VersionUncertain bool `cbor:"10,keyasint,omitempty"`
+	// Service is the service that began the stream, if the request continues one and names another.
+	Service string `cbor:"11,keyasint,omitempty"`
 }
 
 // Values of Inputs.DecidedBy.
--- a/fleet/dispatch/scheduler.go
+++ b/fleet/dispatch/scheduler.go
@@ -175,10 +175,21 @@
 		return s.refuseQuarantined(r, verdict, record)
 	case r.Continues && r.Version == "":
 		return s.refuse(now, r, UnknownVersion, s.inputs(r, choice{}))
-	case r.Prompt.Tokens == 0:
-		return s.placePlain(now, gateway, r, verdict == quarantine.Trial)
 	}
-	return s.placeModel(now, gateway, r, verdict == quarantine.Trial)
+	d := s.placeAllowed(now, gateway, r, verdict == quarantine.Trial)
+	if r.Stream != 0 && !r.Continues && d.Upstream != "" {
+		d.VersionUncertain = !s.engines[d.Upstream].versionCertain()
+	}
+	return d
+}
+
+// placeAllowed decides on a request that is not refused for what it is. Trial reports whether it is
+// a trial of quarantined subjects.
+func (s *Scheduler) placeAllowed(now time.Time, gateway string, r Request, trial bool) Decision {
+	if r.Prompt.Tokens == 0 {
+		return s.placePlain(now, gateway, r, trial)
+	}
+	return s.placeModel(now, gateway, r, trial)
 }
 
 // refuse returns the Decision to refuse a request. The retry delay is drawn at random
@@ -211,19 +222,6 @@
 	}
 }
 
-// missingUpstream returns why no upstream takes a request.
-func (s *Scheduler) missingUpstream(r Request) Reason {
-	if r.Version == "" {
-		return NoUpstream
-	}
-	for _, e := range s.services[r.Service] {
-		if e.Version == r.Version && !e.Draining {
-			return NoUpstream
-		}
-	}
-	return VersionUnavailable
-}
-
 // tokenCost returns the tokens charged to a request's team: the prompt tokens and twice
 // the expected output tokens.
 func tokenCost(p Prompt) float64 { return float64(p.Tokens) + 2*p.ExpectedOutput() }
--- a/fleet/dispatch/upstream.go
+++ b/fleet/dispatch/upstream.go
@@ -49,6 +49,8 @@
 	probing bool
 	// trials is the number of requests in flight that are trials of quarantined subjects.
 	trials int
+	// doubt is whether the upstream may run another software version than the list shows.
+	doubt versionDoubt
 	// starts is the number of restarts that were seen. What requests placed at an earlier
 	// start report says nothing of the present one.
 	starts int
@@ -84,7 +86,7 @@
 
 // takes reports whether the upstream takes the request now.
 func (e *engine) takes(now time.Time, r *Request) bool {
-	return e.usable(now, r.Idempotent) && (r.Version == "" || e.Version == r.Version) && !slices.Contains(r.Excluded, e.ID)
+	return e.usable(now, r.Idempotent) && (r.Version == "" || e.Version == r.Version && e.versionCertain()) && !slices.Contains(r.Excluded, e.ID)
 }
 
 // usable reports whether the upstream takes requests now. Idempotent reports whether the
@@ -100,3 +102,16 @@
 	// go first; others may probe it after idempotentProbeWait.
 	return !e.probing && (idempotent || !now.Before(e.suspendedUntil.Add(idempotentProbeWait)))
 }
+
+// missingUpstream returns why no upstream takes a request.
+func (s *Scheduler) missingUpstream(r Request) Reason {
+	if r.Version == "" {
+		return NoUpstream
+	}
+	for _, e := range s.services[r.Service] {
+		if e.Version == r.Version && !e.Draining {
+			return NoUpstream
+		}
+	}
+	return VersionUnavailable
+}
--- a/fleet/wire/serve.go
+++ b/fleet/wire/serve.go
@@ -58,6 +58,13 @@
 	// links the latest.
 	Begun []origin.Batch `cbor:"25,keyasint,omitempty"`
 
+	// ListAge is how long ago the state was true that the list of upstreams shows, at least; it
+	// comes with a pong and is zero while it is not known.
+	ListAge time.Duration `cbor:"34,keyasint,omitempty"`
+	// DoubtedVersions are upstreams that may run another software version than the list shows, from
+	// the gateway when it links.
+	DoubtedVersions []string `cbor:"35,keyasint,omitempty"`
+
 	// Evacuations are the evacuated availability zones, from the controller: all of them in
 	// its first frame and at each change.
 	Evacuations *evacuation.Frame `cbor:"26,keyasint,omitempty"`
--- a/gateway/internal/controller/linked.go
+++ b/gateway/internal/controller/linked.go
@@ -33,6 +33,7 @@
 	l.outgoing.RateLimits = l.scheduler.RateLimitReports()
 	l.outgoing.Cold = l.scheduler.ColdReports(time.Now())
 	l.outgoing.Quarantine = l.scheduler.Quarantine().Records(time.Now())
+	l.outgoing.DoubtedVersions = l.scheduler.DoubtedVersions()
 	l.outgoing.Begun = l.begun.Latest("", max(maxReportedStreams, l.unconfirmed.Len()))
 	l.scheduler.SetFollowing(true)
 	if next != l.lastLeader {
--- a/gateway/internal/controller/receive.go
+++ b/gateway/internal/controller/receive.go
@@ -7,6 +7,7 @@
 
 	"baobabpaddle/fleet/configuration"
 	"baobabpaddle/fleet/dispatch"
+	"baobabpaddle/fleet/steady"
 	"baobabpaddle/fleet/wire"
 )
 
@@ -58,6 +59,10 @@
 		if ping, ok := l.pings[f.Pong]; ok {
 			next.ProvenUntil = max(next.ProvenUntil, ping.at.Add(l.settings.ProofLifetime))
 			l.unconfirmed.Confirm(ping.reported)
+			if f.ListAge > 0 {
+				next.ListAsOf = ping.at.Add(-f.ListAge)
+				l.scheduler.ConfirmVersions(time.Now().Add(next.ListAsOf.Sub(steady.Now())))
+			}
 			changed = true
 		}
 		for n := range l.pings {
--- a/gateway/internal/controller/view.go
+++ b/gateway/internal/controller/view.go
@@ -16,6 +16,8 @@
 	Table *configuration.Table
 	// Upstreams are the listed upstreams by identifier.
 	Upstreams map[string]dispatch.Upstream
+	// ListAsOf is a time whose state Upstreams shows; zero before one is known.
+	ListAsOf steady.Time
 	// ProvenUntil is the time until which teams' keys may be served: the configuration
 	// was the newest at most Settings.ProofLifetime before it. Without this bound, a
 	// gateway that is cut off would keep serving revoked keys.
--- a/gateway/internal/serve/fake_scheduler_test.go
+++ b/gateway/internal/serve/fake_scheduler_test.go
@@ -28,6 +28,8 @@
 	placed []dispatch.Request
 	// version is stated in decisions on requests that continue a stream.
 	version string
+	// uncertain is stated in decisions on requests that begin a stream.
+	uncertain bool
 	// placing, unless it is nil, is called before each decision.
 	placing func()
 	// refused are the prompt tokens of locally refused requests by team.
@@ -57,6 +59,8 @@
 				ID:       r.ID,
 				Upstream: id,
 				Version:  f.version,
+
+				VersionUncertain: f.uncertain,
 			}
 		}
 	}
--- a/gateway/internal/serve/forward.go
+++ b/gateway/internal/serve/forward.go
@@ -237,6 +237,7 @@
 		n, err := answer.Read(buffer)
 		waiting = n >= fullReadBytes
 		if n > 0 {
+			x.followVersion()
 			before := string(x.events.lastID)
 			if before == "" && resumed {
 				before = x.call.LastEvent
--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -14,6 +14,7 @@
 	"baobabpaddle/fleet/origin"
 	"baobabpaddle/fleet/problem"
 	"baobabpaddle/fleet/room"
+	"baobabpaddle/fleet/steady"
 	"baobabpaddle/fleet/telemetry"
 	"baobabpaddle/fleet/trace"
 	"baobabpaddle/gateway/internal/controller"
@@ -282,7 +283,13 @@
 	stream    origin.Stream
 	continues bool
 	// version is the software version that began the stream; empty as long as it is not known.
+	// BegunAt identifies the upstream that began it.
 	version string
+	begunAt string
+	// versionUncertain is true if the chosen upstream may run another software version than the
+	// list shows, and unsettledSince is when it began a stream, until its version is known.
+	versionUncertain bool
+	unsettledSince   steady.Time
 
 	deadline time.Time
 	inGate   bool              // counted as waiting by the gate
--- a/gateway/internal/serve/origin.go
+++ b/gateway/internal/serve/origin.go
@@ -7,6 +7,7 @@
 
 	"baobabpaddle/fleet/configuration"
 	"baobabpaddle/fleet/origin"
+	"baobabpaddle/fleet/steady"
 )
 
 // errOtherVersion means that an upstream runs another software version than the one that began
@@ -53,12 +54,45 @@
 		}
 		return nil
 	}
-	x.version = version
-	if x.stream != 0 {
-		x.handler.scheduler.ReportBegun(x.stream, origin.Origin{
-			Service: x.service,
-			Version: version,
-		})
+	x.begunAt = x.upstream.ID
+	if x.versionUncertain {
+		x.unsettledSince = steady.Now()
+		return nil
 	}
+	x.version = version
+	x.reportOrigin()
 	return nil
 }
+
+// reportOrigin reports which software version began the stream, if it can be resumed.
+func (x *exchange) reportOrigin() {
+	if x.stream == 0 {
+		return
+	}
+	x.handler.scheduler.ReportBegun(x.stream, origin.Origin{
+		Service: x.service,
+		Version: x.version,
+	})
+}
+
+// followVersion compares the software version that began the stream with the list, while the
+// upstream that began it goes on. One whose version was uncertain is known once the list shows what
+// was true later. If the list changes, it was behind when the stream began, since a restart would
+// have broken the stream off: the stream can't be resumed, as its version may have been reported.
+func (x *exchange) followVersion() {
+	if x.continues || x.begunAt == "" || x.begunAt != x.upstream.ID {
+		return
+	}
+	view := x.handler.scheduler.View()
+	listed, ok := view.Upstreams[x.begunAt]
+	switch {
+	case !ok:
+	case x.unsettledSince != 0 && x.unsettledSince.Before(view.ListAsOf):
+		x.unsettledSince = 0
+		x.version = listed.Version
+		x.reportOrigin()
+	case x.version != "" && listed.Version != x.version:
+		x.version = ""
+		x.reportOrigin()
+	}
+}
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -76,6 +76,7 @@
 		if x.continues {
 			x.version = d.Version
 		}
+		x.versionUncertain = d.VersionUncertain
 		x.requestLog().Step(time.Now(), trace.Placed{
 			RequestInfo: x.requestInfo(),
 			Upstream:    d.Upstream,
