dispatch: a missing list entry does not end a backoff

Cause: an upstream that was back on the list counted as restarted, which ended its Retry-After.

Change: the backoff is kept, and holds again if the upstream is back as it was and was not seen to be down.

--- a/fleet/dispatch/notice.go
+++ b/fleet/dispatch/notice.go
@@ -103,6 +103,42 @@
 	return first, !first.IsZero()
 }
 
+// maxUnlistedBackoffs bounds the upstreams that are not listed and whose backoff is kept.
+const maxUnlistedBackoffs = 1024
+
+// unlistedBackoff is the backoff of an upstream that left the list. An entry that is missing for a
+// while is no sign of a restart.
+type unlistedBackoff struct {
+	until    time.Time
+	upstream Upstream
+}
+
+// keepBackoff keeps the backoff of an upstream that is not listed, unless it was seen to be down.
+func (s *Scheduler) keepBackoff(e *engine) {
+	if e.listed || e.backoffUntil.IsZero() || !e.versionCertain() {
+		return
+	}
+	if len(s.backoffs) >= maxUnlistedBackoffs {
+		clear(s.backoffs)
+	}
+	s.backoffs[e.ID] = unlistedBackoff{
+		until:    e.backoffUntil,
+		upstream: e.Upstream,
+	}
+}
+
+// restoreBackoff restores the backoff of an upstream that is listed again as it was.
+func (s *Scheduler) restoreBackoff(e *engine, u Upstream) {
+	kept, ok := s.backoffs[u.ID]
+	if !ok {
+		return
+	}
+	delete(s.backoffs, u.ID)
+	if before := kept.upstream; before.Address == u.Address && before.Version == u.Version && before.Draining == u.Draining {
+		e.backoffUntil = kept.until
+	}
+}
+
 // Notices returns the notices that are still in force at this Scheduler, with the remaining
 // time of each.
 func (s *Scheduler) Notices(now time.Time) []Notice {
--- a/fleet/dispatch/notice_test.go
+++ b/fleet/dispatch/notice_test.go
@@ -100,3 +100,64 @@
 	c.SetUpstreams([]Upstream{upstreamAt("a")})
 	is.Equal(c.Place(begin, "g", deskRequest(3)).Upstream, "a")
 }
+
+// TestMissingEntryKeepsBackoff guards against requests to an upstream that wants none yet, since its entry
+// was missing in the list for a while: it counted as restarted when it was back.
+func TestMissingEntryKeepsBackoff(t *testing.T) {
+	for name, c := range map[string]struct {
+		inFlight bool // a request is at the upstream meanwhile
+		down     bool // its host refused a connection
+		change   func(*Upstream)
+		usable   bool
+	}{
+		"idle": {},
+		"in flight": {
+			inFlight: true,
+		},
+		"another address": {
+			change: func(u *Upstream) { u.Address = "b:1" },
+			usable: true,
+		},
+		"another version, in flight": {
+			inFlight: true,
+			change:   func(u *Upstream) { u.Version = "v2" },
+			usable:   true,
+		},
+		"down": {
+			down:   true,
+			usable: true,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newScheduler(upstreamAt("a"))
+			place := func(now time.Time, id uint64) Decision { return s.Place(now, "g", deskRequest(id)) }
+			is.Equal(place(begin, 1).Upstream, "a")
+			if !c.inFlight {
+				outcome := Answered
+				if c.down {
+					outcome = ConnectionRefused
+				}
+				s.RecordEnd(begin, Key{
+					Gateway: "g",
+					ID:      1,
+				}, outcome)
+			}
+			s.ApplyOwnNotice(begin, Notice{
+				Upstream: "a",
+				Backoff:  time.Minute,
+			})
+			for range 2 {
+				s.SetUpstreams([]Upstream{upstreamAt("b")})
+			}
+			back := upstreamAt("a")
+			if c.change != nil {
+				c.change(&back)
+			}
+			s.SetUpstreams([]Upstream{back})
+			later := begin.Add(time.Minute / 2) // after a suspension
+			is.Equal(s.Declines(later, "a"), !c.usable)
+			is.True(!s.Declines(begin.Add(time.Minute), "a"))
+		})
+	}
+}
--- a/fleet/dispatch/scheduler.go
+++ b/fleet/dispatch/scheduler.go
@@ -44,6 +44,8 @@
 	quarantine    *quarantine.Register
 	started       []startedRequest
 	crashedTrials []crashedTrial
+	// backoffs are those of upstreams that left the list, by identifier.
+	backoffs map[string]unlistedBackoff
 	// crashes is the number of crashes of upstreams, and crashTimes the times of the last.
 	crashes    uint64
 	crashTimes []time.Time
@@ -81,6 +83,7 @@
 		plain:    make(map[string]*plainService),
 
 		meanCosts: make(map[string]float64),
+		backoffs:  make(map[string]unlistedBackoff),
 
 		pacedRefusals: make(map[Reason]uint64),
 		quarantine:    quarantine.New(),
@@ -132,8 +135,11 @@
 		if e.Address == "" { // listed for the first time
 			e.cache.capacity = s.cacheCapacity(u.Service)
 			e.cold.relisted = s.hasList
+			s.restoreBackoff(e, u)
 		} else if e.restarted(u) {
+			s.keepBackoff(e)
 			e.restart(s.cacheCapacity(u.Service))
+			s.restoreBackoff(e, u)
 		}
 		e.Upstream = u
 		e.listed = true
@@ -149,6 +155,7 @@
 	for id, e := range s.engines {
 		if !e.listed {
 			if e.running == 0 {
+				s.keepBackoff(e)
 				delete(s.engines, id)
 			}
 			continue
