--- a/fleet/dispatch/evidence.go
+++ b/fleet/dispatch/evidence.go
@@ -29,8 +29,8 @@
 	// trialRunningCost is the cost of each running request at the engine that gets a
 	// trial, in prompt tokens.
 	trialRunningCost = 2000.0
-	// minTrialRetryAfter and maxTrialRetryAfter bound the delay after which a caller whose
-	// request or segment is being tried should retry. Most trials are decided by then.
+	// minTrialRetryAfter and maxTrialRetryAfter bound the delay from the begin of a trial after
+	// which a caller whose request or segment is tried should retry. Most trials are decided by then.
 	minTrialRetryAfter = 300 * time.Millisecond
 	maxTrialRetryAfter = 900 * time.Millisecond
 )
@@ -201,7 +201,7 @@
 
 // refuseQuarantined returns the Decision to refuse a request with a quarantined subject,
 // either for good or until a trial has ended.
-func (s *Scheduler) refuseQuarantined(r Request, verdict quarantine.Verdict, record quarantine.Record) Decision {
+func (s *Scheduler) refuseQuarantined(now time.Time, r Request, verdict quarantine.Verdict, record quarantine.Record) Decision {
 	d := Decision{
 		ID:     r.ID,
 		Reason: Quarantined,
@@ -211,7 +211,7 @@
 		},
 	}
 	if verdict == quarantine.Defer {
-		d.RetryAfter = minTrialRetryAfter + time.Duration(s.random.Float64()*float64(maxTrialRetryAfter-minTrialRetryAfter))
+		d.RetryAfter = s.quarantine.Wait(now, record.ID) + minTrialRetryAfter + time.Duration(s.random.Float64()*float64(maxTrialRetryAfter-minTrialRetryAfter))
 	}
 	return d
 }
--- a/fleet/dispatch/scheduler.go
+++ b/fleet/dispatch/scheduler.go
@@ -179,7 +179,7 @@
 	verdict, record := s.checkQuarantine(now, r)
 	switch {
 	case verdict > quarantine.Trial:
-		return s.refuseQuarantined(r, verdict, record)
+		return s.refuseQuarantined(now, r, verdict, record)
 	case r.Continues && r.Version == "":
 		return s.refuse(now, r, UnknownVersion, s.inputs(r, choice{}))
 	}
--- a/fleet/quarantine/record.go
+++ b/fleet/quarantine/record.go
@@ -29,7 +29,7 @@
 }
 
 // Confirmed reports whether a trial of the subject has failed.
-func (r Record) Confirmed() bool { return r.Rounds >= finalRounds }
+func (r Record) Confirmed() bool { return r.Rounds >= confirmedRounds }
 
 // Cause is why the record of a subject changed.
 type Cause string
--- a/fleet/quarantine/register.go
+++ b/fleet/quarantine/register.go
@@ -10,8 +10,11 @@
 	// restrictRounds is the number of rounds from which a subject is quarantined. One
 	// crash proves nothing, since all requests of the engine were there.
 	restrictRounds = 2
-	// finalRounds is the number of rounds from which refusals are final.
-	finalRounds = 3
+	// confirmedRounds is the number of rounds from which a trial has failed.
+	confirmedRounds = 3
+	// finalRounds is the number of rounds from which refusals are final. The last two come TrialWait
+	// after the ones before, which is longer than upstreams are likely to crash for other causes.
+	finalRounds = 5
 	// maxLateTrials is the number of trials after Kind.lateCrashes. After them only an
 	// operator or disuse releases the subject.
 	maxLateTrials = 2
--- a/fleet/quarantine/verdict.go
+++ b/fleet/quarantine/verdict.go
@@ -45,12 +45,25 @@
 	switch {
 	case !e.trialing && !now.Before(e.trialAt) && !e.exhausted():
 		return Trial
-	case e.rounds >= finalRounds:
+	case e.rounds >= finalRounds || e.exhausted() && !e.trialing:
 		return Refuse
 	}
 	return Defer
 }
 
+// Wait returns the time after which a trial of a quarantined subject may start. It is zero if one
+// is in flight.
+func (r *Register) Wait(now time.Time, id uint64) time.Duration {
+	e := r.entries[id]
+	switch {
+	case e == nil || e.trialing:
+		return 0
+	case now.Before(e.abortedUntil):
+		return e.abortedUntil.Sub(now)
+	}
+	return max(e.trialAt.Sub(now), 0)
+}
+
 // StartTrial records that a request is sent to an engine as a trial of its quarantined
 // subjects. FailTrial, EndTrial or AbortTrial must follow.
 func (r *Register) StartTrial(now time.Time, subjects []Subject) {
@@ -60,7 +73,7 @@
 			continue
 		}
 		e.trialing, e.trialService = true, subject.Service
-		if e.crashes >= e.kind.lateCrashes() && e.rounds >= finalRounds && !r.separates(subject.ID, e, subjects) && !r.answeredAtService(now, subject, e) {
+		if e.crashes >= e.kind.lateCrashes() && e.rounds >= confirmedRounds && !r.separates(subject.ID, e, subjects) && !r.answeredAtService(now, subject, e) {
 			e.lateTrials++
 			r.change(r.record(now, subject.ID, e), Tried)
 		}
--- a/gateway/internal/controller/quarantine_test.go
+++ b/gateway/internal/controller/quarantine_test.go
@@ -58,7 +58,7 @@
 		Prompt:  crashingPrompt,
 	})
 	is.Equal(d.Reason, dispatch.Quarantined)
-	is.Equal(d.RetryAfter, time.Duration(0))
+	is.True(d.RetryAfter > time.Minute-5*time.Second) // until the trial
 	leader.set(func(l *fakeLeader) {
 		l.frames = nil
 		l.conns[0].Close()
