--- a/controller/internal/gateway/hub.go
+++ b/controller/internal/gateway/hub.go
@@ -13,6 +13,7 @@
 	"baobabpaddle/fleet/evacuation"
 	"baobabpaddle/fleet/link"
 	"baobabpaddle/fleet/origin"
+	"baobabpaddle/fleet/quarantine"
 	"baobabpaddle/fleet/telemetry"
 	"baobabpaddle/fleet/wire"
 )
@@ -127,6 +128,10 @@
 	// read. recording is true while a change of them is proposed.
 	recorded  *recordedQuarantine
 	recording bool
+	// suspects are those that the gateways were sent, and nextSuspects is when they may be sent
+	// again.
+	suspects     []quarantine.Record
+	nextSuspects time.Time
 	// evacuations are the evacuated availability zones. They outlast a term.
 	evacuations evacuation.Follower
 	// rateLimits are the rate limits that gateways were sent, in requests a second. Changes
@@ -312,6 +317,7 @@
 		frame.RateLimits = append(frame.RateLimits, dispatch.NewRateLimitReport(upstream, perSecond))
 	}
 	frame.RateLimitsComplete = true
+	frame.Suspects, frame.SuspectsComplete = h.suspects, len(h.suspects) > 0
 	frame.Cold = h.scheduler.ColdReports(time.Now())
 	if h.upstreams != nil && (c.upstreamsDigest == 0 || c.upstreamsDigest != wire.UpstreamsDigest(h.upstreams)) {
 		frame.Upstreams = wire.FullUpdate(h.upstreams)
--- a/controller/internal/gateway/quarantine.go
+++ b/controller/internal/gateway/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"baobabpaddle/controller/internal/replica"
@@ -96,9 +97,32 @@
 		h.scheduler.Quarantine().Sweep(now)
 	}
 	h.publishQuarantine()
+	h.publishSuspects(now)
 	h.recordQuarantine(ctx, now)
 }
 
+// suspectsInterval is the least pause between two changes of the suspects that gateways are sent.
+const suspectsInterval = 500 * time.Millisecond
+
+// publishSuspects sends the gateways the requests that an upstream crashed with and that are not
+// quarantined. They report them to the next leader.
+func (h *Hub) publishSuspects(now time.Time) {
+	if now.Before(h.nextSuspects) || len(h.conns) == 0 {
+		return
+	}
+	suspects := h.scheduler.Suspects(now)
+	if slices.EqualFunc(suspects, h.suspects, func(a, b quarantine.Record) bool { return a.ID == b.ID && a.Crashes == b.Crashes }) {
+		return
+	}
+	h.nextSuspects, h.suspects = now.Add(suspectsInterval), suspects
+	for _, c := range h.conns {
+		h.send(c, wire.Serve{
+			Suspects:         suspects,
+			SuspectsComplete: true,
+		})
+	}
+}
+
 // publishQuarantine logs the changes of quarantined subjects and sends them to the
 // gateways.
 func (h *Hub) publishQuarantine() {
--- a/controller/internal/gateway/quarantine_test.go
+++ b/controller/internal/gateway/quarantine_test.go
@@ -94,6 +94,78 @@
 	is.Equal(changes[0].Crashes, 2)
 }
 
+// TestFirstCrashOutlastsItsLeader guards against a request that crashes an upstream under each leader and
+// is never quarantined, since one crash proves little and the next leader doesn't know of it.
+func TestFirstCrashOutlastsItsLeader(t *testing.T) {
+	is := is.New(t)
+	c := &conn{
+		name: "a",
+	}
+	crashing := dispatch.Request{
+		ID:        1,
+		Service:   "llm",
+		Objective: time.Second,
+		Digest:    42,
+	}
+	first, second := newLeadingHub(), newLeadingHub()
+	is.True(place(first, c, crashing).Upstream != "")
+	first.receive(c, wire.Serve{
+		Ended: []wire.Ended{wire.NewEnded(1, dispatch.Crashed)},
+	})
+	suspects := first.scheduler.Suspects(time.Now().Add(time.Second))
+	is.Equal(len(suspects), 1)
+	is.Equal(suspects[0].ID, uint64(42))
+
+	second.receive(c, wire.Serve{
+		Suspects: suspects,
+	})
+	is.True(place(second, c, crashing).Upstream != "") // one crash proves little
+	time.Sleep(time.Millisecond)
+	second.receive(c, wire.Serve{
+		Ended: []wire.Ended{wire.NewEnded(1, dispatch.Crashed)},
+	})
+	is.Equal(second.scheduler.Quarantine().Quarantined(), 1)
+	second.receive(c, wire.Serve{
+		Suspects: suspects, // from another gateway
+	})
+	is.Equal(second.scheduler.Quarantine().TakeChanges()[0].Crashes, 2)
+}
+
+// TestAnsweredRequestsAreNoSuspects checks that what was at an upstream that crashed is not reported once
+// it is answered, or is at an upstream again.
+func TestAnsweredRequestsAreNoSuspects(t *testing.T) {
+	is := is.New(t)
+	h := newLeadingHub()
+	c := &conn{
+		name: "a",
+	}
+	send := func(id, digest uint64) {
+		is.True(place(h, c, dispatch.Request{
+			ID:        id,
+			Service:   "llm",
+			Objective: time.Second,
+			Digest:    digest,
+		}).Upstream != "")
+	}
+	end := func(id uint64, outcome dispatch.Outcome) {
+		h.receive(c, wire.Serve{
+			Ended: []wire.Ended{wire.NewEnded(id, outcome)},
+		})
+	}
+	later := func() int { return len(h.scheduler.Suspects(time.Now().Add(time.Second))) }
+	send(1, 42)
+	end(1, dispatch.Crashed)
+	is.Equal(len(h.scheduler.Suspects(time.Now())), 0) // it may be sent elsewhere at once
+	is.Equal(later(), 1)
+	send(2, 42)
+	is.Equal(later(), 0)
+	h.receive(c, wire.Serve{
+		Started: []uint64{2},
+	})
+	end(2, dispatch.Answered)
+	is.Equal(later(), 0)
+}
+
 // TestRecordedQuarantineIsEnforced guards against a leader that forgets the quarantine after
 // a restart of all controllers: it starts from the replicated state.
 func TestRecordedQuarantineIsEnforced(t *testing.T) {
--- a/controller/internal/gateway/receive.go
+++ b/controller/internal/gateway/receive.go
@@ -17,6 +17,7 @@
 	h.scheduler.AddAccounts(now, frame.Accounts)
 	h.scheduler.RecordGatewayRefusals(now, frame.Refused)
 	h.scheduler.Quarantine().Merge(now, frame.Quarantine)
+	h.scheduler.Quarantine().MergeSuspects(now, frame.Suspects)
 	for _, n := range frame.UpstreamNotices {
 		h.scheduler.ApplyPeerNotice(now, n)
 	}
--- a/controller/internal/gateway/term.go
+++ b/controller/internal/gateway/term.go
@@ -95,7 +95,7 @@
 	h.rateLimits = nil
 	h.zones = make(map[string]*zoneRoom)
 	h.listedCold, h.coldReports = nil, nil
-	h.recorded = nil
+	h.recorded, h.suspects = nil, nil
 	if h.active != nil {
 		h.scheduler.SetConfiguration(h.active.table)
 	}
--- a/fleet/dispatch/evidence.go
+++ b/fleet/dispatch/evidence.go
@@ -324,6 +324,16 @@
 	return e.crash
 }
 
+// suspectAge is the time after a crash in which most requests that were at the upstream are being
+// answered elsewhere.
+const suspectAge = 300 * time.Millisecond
+
+// Suspects returns the requests that an upstream crashed with, that are not quarantined and not at an
+// upstream now, for the next leader.
+func (s *Scheduler) Suspects(now time.Time) []quarantine.Record {
+	return s.quarantine.Suspects(now, suspectAge, func(digest uint64) bool { return len(s.byDigest[digest]) > 0 })
+}
+
 // SetFollowing sets whether another Scheduler decides at present. While it does, that one,
 // which sees the requests of all gateways, keeps the evidence against segments and requests.
 func (s *Scheduler) SetFollowing(following bool) { s.following = following }
--- a/fleet/quarantine/merge.go
+++ b/fleet/quarantine/merge.go
@@ -21,6 +21,41 @@
 	return out
 }
 
+// maxSuspects is the number of suspects that are reported.
+const maxSuspects = 64
+
+// Suspects returns the records of requests that an engine crashed with at least minAge ago, and that are
+// not quarantined, at most maxSuspects of them. Skip reports whether one is left out.
+func (r *Register) Suspects(now time.Time, minAge time.Duration, skip func(digest uint64) bool) []Record {
+	var out []Record
+	for id, e := range r.entries {
+		if e.kind == Request && e.of == 0 && !e.quarantined() && now.Sub(e.lastRound) >= minAge && !skip(id) {
+			out = append(out, r.record(now, id, e))
+		}
+	}
+	slices.SortFunc(out, func(a, b Record) int { return cmp.Or(cmp.Compare(a.SinceCrash, b.SinceCrash), cmp.Compare(a.ID, b.ID)) })
+	return out[:min(len(out), maxSuspects)]
+}
+
+// MergeSuspects adds suspects that another process reported, unless there is evidence against them
+// here.
+func (r *Register) MergeSuspects(now time.Time, suspects []Record) {
+	for _, record := range suspects {
+		crashedAt := now.Add(-record.SinceCrash)
+		if r.entries[record.ID] != nil || record.Rounds != restrictRounds-1 || now.Sub(crashedAt) > suspectTimeout {
+			continue
+		}
+		e := r.add(now, record.Subject)
+		if e == nil {
+			return
+		}
+		e.rounds, e.crashes, e.midAnswer, e.lastRound = record.Rounds, record.Crashes, record.MidAnswer, crashedAt
+		for _, service := range record.Services {
+			e.addService(service)
+		}
+	}
+}
+
 // Merge adds records that another process reported. The stronger evidence of the two
 // counts. A record is ignored if the subject was released after its last crash.
 func (r *Register) Merge(now time.Time, records []Record) {
--- a/fleet/wire/serve.go
+++ b/fleet/wire/serve.go
@@ -102,6 +102,11 @@
 	Quarantine []quarantine.Record `cbor:"21,keyasint,omitempty"`
 	// QuarantineComplete reports that Quarantine holds all records of the controller.
 	QuarantineComplete bool `cbor:"22,keyasint,omitempty"`
+	// Suspects are requests that upstreams crashed with and that are not quarantined: from the
+	// controller all of them when they change, from the gateway those that it knows when it
+	// links. SuspectsComplete is true if the controller sent them.
+	Suspects         []quarantine.Record `cbor:"36,keyasint,omitempty"`
+	SuspectsComplete bool                `cbor:"37,keyasint,omitempty"`
 }
 
 // ServeHello introduces a gateway to a controller.
@@ -210,5 +215,5 @@
 		len(s.Decisions) == 0 && s.Gateways == 0 && len(s.Accounts) == 0 && len(s.UpstreamNotices) == 0 && len(s.Refused) == 0 && s.Change == nil && s.TrafficFraction == 0 &&
 		len(s.Begun) == 0 && len(s.Quarantine) == 0 && !s.QuarantineComplete && len(s.RateLimits) == 0 && !s.RateLimitsComplete &&
 		s.Evacuations == nil && s.Room == nil && s.ZoneRoom == nil &&
-		len(s.Cold) == 0
+		len(s.Cold) == 0 && len(s.DoubtedVersions) == 0 && len(s.Suspects) == 0 && !s.SuspectsComplete
 }
--- a/gateway/internal/controller/link.go
+++ b/gateway/internal/controller/link.go
@@ -13,6 +13,7 @@
 	"baobabpaddle/fleet/evacuation"
 	"baobabpaddle/fleet/link"
 	"baobabpaddle/fleet/origin"
+	"baobabpaddle/fleet/quarantine"
 	"baobabpaddle/fleet/room"
 	"baobabpaddle/fleet/steady"
 	"baobabpaddle/fleet/trace"
@@ -127,6 +128,9 @@
 	begun       *origin.Register
 	unconfirmed origin.Pending
 	relay       relay
+	// suspects are those that the leader sent last, at suspectsAt.
+	suspects   []quarantine.Record
+	suspectsAt time.Time
 	// evacuations are the evacuated availability zones.
 	evacuations evacuation.Follower
 	outgoing    wire.Serve          // the next frame, not sent yet
--- a/gateway/internal/controller/linked.go
+++ b/gateway/internal/controller/linked.go
@@ -32,6 +32,7 @@
 	l.outgoing.UpstreamNotices = l.scheduler.Notices(time.Now())
 	l.outgoing.RateLimits = l.scheduler.RateLimitReports()
 	l.outgoing.Cold = l.scheduler.ColdReports(time.Now())
+	l.outgoing.Suspects = l.knownSuspects(time.Now())
 	l.outgoing.Quarantine = l.scheduler.Quarantine().Records(time.Now())
 	l.outgoing.DoubtedVersions = l.scheduler.DoubtedVersions()
 	l.outgoing.Begun = l.begun.Latest("", max(maxReportedStreams, l.unconfirmed.Len()))
--- a/gateway/internal/controller/quarantine_test.go
+++ b/gateway/internal/controller/quarantine_test.go
@@ -76,6 +76,51 @@
 	})
 }
 
+// TestNewLeaderReceivesSuspects guards against a new leader that doesn't hear of a request which an
+// upstream crashed with under the leader before.
+func TestNewLeaderReceivesSuspects(t *testing.T) {
+	is := is.New(t)
+	first, second := startLeader(t), startLeader(t)
+	l := startLink(t, []string{first.address}, time.Minute)
+	eventually(t, "not ready", func() bool { return l.View().Ready() })
+	first.set(func(f *fakeLeader) {
+		for _, ids := range [][]uint64{{7, 8}, {42}} { // the last list counts
+			frame := wire.Serve{
+				SuspectsComplete: true,
+			}
+			for _, id := range ids {
+				frame.Suspects = append(frame.Suspects, quarantine.Record{
+					Subject: quarantine.Subject{
+						ID:   id,
+						Kind: quarantine.Request,
+					},
+					Rounds:     1,
+					Crashes:    1,
+					SinceCrash: time.Minute,
+				})
+			}
+			_ = f.conns[0].Send(frame)
+		}
+		_ = f.conns[0].Send(wire.Serve{
+			Gateways: 2,
+		})
+	})
+	eventually(t, "the frames were not received", func() bool { return l.View().Gateways == 2 })
+	l.SetSeeds([]string{second.address})
+	first.set(func(f *fakeLeader) { f.conns[0].Close() })
+	var received []quarantine.Record
+	eventually(t, "no suspects are reported", func() bool {
+		second.set(func(f *fakeLeader) {
+			for _, frame := range f.frames {
+				received = append(received, frame.Suspects...)
+			}
+		})
+		return len(received) > 0
+	})
+	is.Equal(received[0].ID, uint64(42))
+	is.True(received[0].SinceCrash >= time.Minute)
+}
+
 // TestCompleteQuarantineReplaces checks that a gateway that was out of touch drops what the
 // leader has released meanwhile.
 func TestCompleteQuarantineReplaces(t *testing.T) {
--- a/gateway/internal/controller/receive.go
+++ b/gateway/internal/controller/receive.go
@@ -7,6 +7,7 @@
 
 	"baobabpaddle/fleet/configuration"
 	"baobabpaddle/fleet/dispatch"
+	"baobabpaddle/fleet/quarantine"
 	"baobabpaddle/fleet/steady"
 	"baobabpaddle/fleet/wire"
 )
@@ -15,6 +16,7 @@
 func (l *Link) receive(f wire.Serve) {
 	l.receiveEvacuations(f)
 	l.receiveQuarantine(f)
+	l.receiveSuspects(f)
 	l.receiveRateLimits(f)
 	for _, d := range f.Decisions {
 		l.handleDecision(d)
@@ -89,6 +91,22 @@
 	}
 }
 
+// receiveSuspects keeps the leader's suspects for the next leader.
+func (l *Link) receiveSuspects(f wire.Serve) {
+	if f.SuspectsComplete {
+		l.suspects, l.suspectsAt = f.Suspects, time.Now()
+	}
+}
+
+// knownSuspects returns the suspects that a leader sent last.
+func (l *Link) knownSuspects(now time.Time) []quarantine.Record {
+	out := slices.Clone(l.suspects)
+	for i := range out {
+		out[i].SinceCrash += now.Sub(l.suspectsAt)
+	}
+	return out
+}
+
 // receiveRateLimits applies the leader's rate limits of upstreams.
 func (l *Link) receiveRateLimits(f wire.Serve) {
 	if len(f.RateLimits) == 0 && !f.RateLimitsComplete {
