--- a/controller/internal/gateway/origins.go
+++ b/controller/internal/gateway/origins.go
@@ -124,7 +124,7 @@
 func (h *Hub) findOrigin(r dispatch.Request) (began origin.Origin, answer origin.Answer) {
 	h.viewHistory(func(history *origin.History) {
 		recorded, ok := history.Find(r.Stream)
-		began, answer = h.origins.Find(r.Stream, r.Service, recorded, ok)
+		began, answer = h.origins.Find(r.Stream, r.Service, r.Allows, recorded, ok)
 	})
 	return began, answer
 }
@@ -155,7 +155,7 @@
 		})
 		return
 	}
-	r.Version = began.Version
+	r.Version, r.Service = began.Version, began.Service
 	h.place(c, r)
 }
 
@@ -169,6 +169,9 @@
 	c.traffic.add(r.Weight())
 	d := h.scheduler.Place(now, c.name, r)
 	d.Version = r.Version
+	if r.Continues {
+		d.Service = r.Service
+	}
 	h.replies[c] = append(h.replies[c], d)
 }
 
--- a/controller/internal/gateway/origins_test.go
+++ b/controller/internal/gateway/origins_test.go
@@ -151,21 +151,24 @@
 	return h.replies[c][0]
 }
 
+// onlyReplica identifies the disk of the only replica of a group.
+var onlyReplica = disk.Identity{
+	ReplicaID: 1,
+	DiskID:    "d",
+	Members: &raft.Members{
+		List: []raft.Member{{
+			ID:    1,
+			Voter: true,
+		}},
+	},
+}
+
 // TestStreamsGoOnAfterLossOfPower guards against a leader that, after all hosts lost power,
 // continues streams at another software version or refuses those that were recorded.
 func TestStreamsGoOnAfterLossOfPower(t *testing.T) {
 	is := is.New(t)
 	folder := t.TempDir()
-	is.NoErr(disk.Init(folder, disk.Identity{
-		ReplicaID: 1,
-		DiskID:    "d",
-		Members: &raft.Members{
-			List: []raft.Member{{
-				ID:    1,
-				Voter: true,
-			}},
-		},
-	}))
+	is.NoErr(disk.Init(folder, onlyReplica))
 	r, stop := startReplica(t, folder)
 	h := newOriginHub(t, r)
 	go h.confirmContinuations(h.ctx)
@@ -237,6 +240,42 @@
 	is.True(!h.allowance.Take(time.Now(), 4))
 }
 
+// TestStreamGoesOnAtTheServiceThatBeganIt guards against streams that can't be resumed since the weights
+// of their route have changed: another service is drawn for them than the one that began them.
+func TestStreamGoesOnAtTheServiceThatBeganIt(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	is.NoErr(disk.Init(folder, onlyReplica))
+	r, _ := startReplica(t, folder)
+	h := newOriginHub(t, r)
+	h.list("v1")
+	h.record()
+	c := &conn{
+		name: "a",
+	}
+	h.conns[c.name] = c
+	h.receive(c, wire.Serve{
+		Begun: []origin.Batch{{
+			Service: "llm",
+			Version: "v1",
+			Streams: []origin.Stream{1},
+		}},
+	})
+	for _, services := range [][]string{{"other", "llm"}, {"other", "third"}} {
+		h.continueStream(c, dispatch.Request{
+			ID:        1,
+			Service:   "other",
+			Services:  services,
+			Stream:    1,
+			Continues: true,
+		})
+	}
+	is.Equal(len(h.replies[c]), 2)
+	is.Equal(h.replies[c][0].Upstream, "u1")
+	is.Equal(h.replies[c][0].Service, "llm")
+	is.Equal(h.replies[c][1].Reason, dispatch.UnknownVersion) // it has left the route
+}
+
 // TestResultOfAnEarlierTermIsDropped guards against the end of a proposed change of a former
 // term that is taken for the end of the one that is under way: two were then proposed at a
 // time, with streams that nobody had reported to this leader.
--- a/fleet/configuration/table.go
+++ b/fleet/configuration/table.go
@@ -107,6 +107,20 @@
 	return r.Split[len(r.Split)-1].Service
 }
 
+// Services returns the names of the services that Choose can return.
+func (r *Route) Services() []string {
+	if len(r.Split) == 0 {
+		return []string{r.Service}
+	}
+	var out []string
+	for _, p := range r.Split {
+		if p.Weight > 0 {
+			out = append(out, p.Service)
+		}
+	}
+	return out
+}
+
 // Idempotent reports whether a request may run more than once.
 func (r *Route) Idempotent() bool {
 	return r.Kind == Safe || (r.Kind == Stream && r.Resumable)
--- a/fleet/dispatch/request.go
+++ b/fleet/dispatch/request.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"baobabpaddle/fleet/origin"
@@ -94,6 +95,14 @@
 	// Version is the software version of the upstreams that may get the request, the one that
 	// began its stream. Empty means any version, unless Continues is true.
 	Version string `cbor:"15,keyasint,omitempty"`
+	// Services are those that may get a request which continues a stream: the one that began it gets
+	// it. Empty means Service only.
+	Services []string `cbor:"16,keyasint,omitempty"`
+}
+
+// Allows reports whether a request that continues a stream may go to a service.
+func (r *Request) Allows(service string) bool {
+	return service == r.Service || slices.Contains(r.Services, service)
 }
 
 // countsForTeam reports whether the request adds to its team's demand. Resumed requests
--- a/fleet/origin/keeper.go
+++ b/fleet/origin/keeper.go
@@ -155,9 +155,10 @@
 	Unconfirmed
 )
 
-// Find returns what is known of the origin of a stream of a service, which the history has
-// if isRecorded is true.
-func (k *Keeper) Find(s Stream, service string, recorded Origin, isRecorded bool) (Origin, Answer) {
+// Find returns what is known of the origin of a stream, which the history has if isRecorded is
+// true. Service is the one that began it unless another is known to have, and allows reports
+// whether the stream may go on at a service.
+func (k *Keeper) Find(s Stream, service string, allows func(service string) bool, recorded Origin, isRecorded bool) (Origin, Answer) {
 	o, ok := k.begun.Find(s)
 	switch {
 	case ok && isRecorded && o != recorded:
@@ -166,7 +167,7 @@
 		o, ok = recorded, true
 	}
 	switch {
-	case ok && o.Known() && o.Service == service:
+	case ok && o.Known() && allows(o.Service):
 		return o, Found
 	case ok || k.records(service):
 		return Origin{}, Unknown
--- a/fleet/origin/keeper_test.go
+++ b/fleet/origin/keeper_test.go
@@ -28,6 +28,11 @@
 	}
 }
 
+// only returns the function for Find of a request that may go to one service.
+func only(service string) func(string) bool {
+	return func(other string) bool { return other == service }
+}
+
 // notRecorded is the function for Report of an empty history.
 func notRecorded(Stream, Origin) bool { return false }
 
@@ -52,14 +57,14 @@
 	is.True(!k.Pending()) // one version needs no record of streams
 	k.Report(start, []Batch{batch(v1, 1, 2)}, notRecorded)
 	is.True(!k.Pending())
-	_, answer := k.Find(1, "llm", Origin{}, false)
+	_, answer := k.Find(1, "llm", only("llm"), Origin{}, false)
 	is.Equal(answer, Found)
-	_, answer = k.Find(3, "llm", Origin{}, false)
+	_, answer = k.Find(3, "llm", only("llm"), Origin{}, false)
 	is.Equal(answer, Unconfirmed)
 
 	is.True(!k.List(start, v2))
 	k.Report(start, []Batch{batch(v1, 4)}, notRecorded)
-	_, answer = k.Find(3, "llm", Origin{}, false)
+	_, answer = k.Find(3, "llm", only("llm"), Origin{}, false)
 	is.Equal(answer, Unknown) // from now on another leader may publish the new version
 	change := k.Next()
 	is.Equal(change, Change{
@@ -118,7 +123,7 @@
 	history.Apply(start, change)
 	k.Done(change, history)
 	is.True(k.List(start, v1))
-	_, answer := k.Find(1, "llm", Origin{}, false)
+	_, answer := k.Find(1, "llm", only("llm"), Origin{}, false)
 	is.Equal(answer, Unknown)
 	k.Report(start, []Batch{batch(v1, 2)}, notRecorded)
 	is.True(k.Pending()) // streams are recorded one by one
@@ -136,7 +141,7 @@
 	})
 	history.Apply(later, change)
 	k.Done(change, history)
-	_, answer = k.Find(1, "llm", Origin{}, false)
+	_, answer = k.Find(1, "llm", only("llm"), Origin{}, false)
 	is.Equal(answer, Unconfirmed)
 }
 
@@ -172,9 +177,9 @@
 	k.Report(start, []Batch{batch(Version{
 		Service: "llm",
 	}, 9)}, notRecorded)
-	_, answer := k.Find(9, "llm", Origin{}, false)
+	_, answer := k.Find(9, "llm", only("llm"), Origin{}, false)
 	is.Equal(answer, Unknown)
-	_, answer = k.Find(1, "llm", Origin{}, false)
+	_, answer = k.Find(1, "llm", only("llm"), Origin{}, false)
 	is.Equal(answer, Unknown)
 	history.Apply(start, k.Next())
 	_, single := history.Single("llm")
@@ -187,15 +192,18 @@
 	is := is.New(t)
 	k, _ := newKeeper(v1)
 	k.Report(start, []Batch{batch(v1, 1)}, notRecorded)
-	_, answer := k.Find(1, "desk", Origin{}, false)
+	_, answer := k.Find(1, "desk", only("desk"), Origin{}, false)
 	is.Equal(answer, Unknown)
 	recorded := Origin{
 		Service: "llm",
 		Version: "v2",
 	}
-	_, answer = k.Find(1, "llm", recorded, true) // two origins
+	_, answer = k.Find(1, "llm", only("llm"), recorded, true) // two origins
 	is.Equal(answer, Unknown)
-	o, answer := k.Find(2, "llm", recorded, true)
+	o, answer := k.Find(2, "llm", only("llm"), recorded, true)
+	is.Equal(answer, Found)
+	is.Equal(o, recorded)
+	o, answer = k.Find(2, "desk", func(string) bool { return true }, recorded, true) // weights have changed
 	is.Equal(answer, Found)
 	is.Equal(o, recorded)
 }
--- a/fleet/origin/out_of_step_test.go
+++ b/fleet/origin/out_of_step_test.go
@@ -62,7 +62,7 @@
 		return
 	}
 	recorded, ok := c.history.Find(t.stream.id)
-	o, answer := c.keeper.Find(t.stream.id, "llm", recorded, ok)
+	o, answer := c.keeper.Find(t.stream.id, "llm", only("llm"), recorded, ok)
 	switch {
 	case answer != Unconfirmed:
 		f.decide(t, o.Version)
@@ -96,7 +96,7 @@
 			continue
 		}
 		recorded, ok := c.history.Find(t.stream.id)
-		o, answer := c.keeper.Find(t.stream.id, "llm", recorded, ok)
+		o, answer := c.keeper.Find(t.stream.id, "llm", only("llm"), recorded, ok)
 		if answer == Unconfirmed {
 			o.Version, _ = c.history.Single("llm")
 		}
--- a/fleet/origin/schedules_test.go
+++ b/fleet/origin/schedules_test.go
@@ -235,7 +235,7 @@
 		return "", false
 	}
 	recorded, ok := f.history.Find(s)
-	o, answer := f.keeper.Find(s, "llm", recorded, ok)
+	o, answer := f.keeper.Find(s, "llm", only("llm"), recorded, ok)
 	switch answer {
 	case Found:
 		return o.Version, true
--- a/gateway/internal/controller/origin_test.go
+++ b/gateway/internal/controller/origin_test.go
@@ -60,6 +60,33 @@
 	}
 }
 
+// TestContinuationAtAnotherServiceOfItsRoute guards against streams that this gateway has forwarded and
+// refuses to continue since the weights of their route have changed.
+func TestContinuationAtAnotherServiceOfItsRoute(t *testing.T) {
+	is := is.New(t)
+	leader := startLeader(t)
+	l := startLink(t, []string{leader.address}, time.Minute)
+	eventually(t, "not ready", func() bool { return l.View().Ready() })
+	l.ReportBegun(7, origin.Origin{
+		Service: "desk",
+		Version: "v1",
+	})
+	r := continuation(1, 7)
+	r.Service, r.Services = "other", []string{"desk", "other"}
+	d := l.Place(context.Background(), r)
+	is.Equal(d.Upstream, "u")
+	is.Equal(d.Version, "v1")
+	asked := dispatch.Request{}
+	leader.set(func(l *fakeLeader) {
+		for _, f := range l.frames {
+			for _, r := range f.PlacementRequests {
+				asked = r
+			}
+		}
+	})
+	is.Equal(asked.Service, "desk")
+}
+
 // TestContinuationDelaysNoOtherRequest guards against requests that wait for the decision on a
 // continuation, which takes longer to expire.
 func TestContinuationDelaysNoOtherRequest(t *testing.T) {
--- a/gateway/internal/controller/place.go
+++ b/gateway/internal/controller/place.go
@@ -12,11 +12,11 @@
 func (l *Link) place(r dispatch.Request, decision reply) {
 	now := time.Now()
 	if known, ok := l.begun.Find(r.Stream); ok && r.Continues && r.Version == "" {
-		if !known.Known() || known.Service != r.Service {
+		if !known.Known() || !r.Allows(known.Service) {
 			decision <- refuseUnknownVersion(r)
 			return
 		}
-		r.Version = known.Version
+		r.Version, r.Service = known.Version, known.Service
 	}
 	if l.conn == nil {
 		decision <- l.placeLocally(now, r)
@@ -82,6 +82,9 @@
 	}
 	d := l.scheduler.Place(now, l.settings.Name, r)
 	d.Version = r.Version
+	if r.Continues {
+		d.Service = r.Service
+	}
 	d.Inputs.DecidedBy = dispatch.ByGateway
 	l.setRetryAfter(now, r.Service, &d)
 	return d
--- a/gateway/internal/controller/receive.go
+++ b/gateway/internal/controller/receive.go
@@ -164,6 +164,9 @@
 		l.handleLateDecision(d)
 		return
 	}
+	if d.Service != "" {
+		w.request.Service = d.Service
+	}
 	if d.Upstream != "" && l.scheduler.Declines(now, d.Upstream) {
 		l.requestAnother(now, w, d)
 		return
--- a/gateway/internal/serve/origin.go
+++ b/gateway/internal/serve/origin.go
@@ -96,3 +96,12 @@
 		x.reportOrigin()
 	}
 }
+
+// otherServices returns the services of the route where the stream that the request continues may
+// have begun, unless its service is the only one or known.
+func (x *exchange) otherServices() []string {
+	if !x.continues || x.version != "" || len(x.route.Split) == 0 {
+		return nil
+	}
+	return x.route.Services()
+}
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -75,6 +75,9 @@
 		}
 		if x.continues {
 			x.version = d.Version
+			if d.Service != "" {
+				x.service = d.Service
+			}
 		}
 		x.versionUncertain = d.VersionUncertain
 		x.requestLog().Step(time.Now(), trace.Placed{
@@ -162,6 +165,7 @@
 		Stream:     x.stream,
 		Continues:  x.continues,
 		Version:    x.version,
+		Services:   x.otherServices(),
 	}
 }
 
