--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,9 @@
 # The tests of bounds on memory and descriptors run one at a time and apart from the others.
 CROWD := ./bench/crowd
 BIN := bin
+# Packages, and tests of each, that run at once. Many start processes and keep to real times.
+PACKAGES_AT_ONCE := 3
+TESTS_AT_ONCE := 4
 # The tests that KNOWN-RED.txt lists are passed over, by their whole names.
 KNOWN_RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd '|' -)
 
@@ -18,7 +21,7 @@
 	go build -o $(BIN)/ ./baobabctl ./controller ./gateway ./sidecar ./standin ./bench/cmd/...
 
 test: build
-	BAOBABPADDLE_BIN=$(CURDIR)/$(BIN) go test -count=1 -skip '^($(KNOWN_RED))$$' $$(go list $(PACKAGES) | grep -v '/bench/crowd$$')
+	BAOBABPADDLE_BIN=$(CURDIR)/$(BIN) go test -count=1 -p $(PACKAGES_AT_ONCE) -parallel $(TESTS_AT_ONCE) -skip '^($(KNOWN_RED))$$' $$(go list $(PACKAGES) | grep -v '/bench/crowd$$')
 	$(MAKE) test-crowd
 
 test-crowd: build
