gateway: streams of a gateway that is cut off don't wait to be reported

Cause: without a link the gateway sent a report only once that before was answered, which takes a commit, and 0.4 s without a leader. What began meanwhile was lost with it.

Change: new streams are sent every 0.1 s whatever is unanswered, 20 attempts at most.

Ruled out: lost by those who held them, as no older stream was lost. TestRelayedStreamsDontWait failed before.

--- a/gateway/internal/controller/relay.go
+++ b/gateway/internal/controller/relay.go
@@ -27,8 +27,10 @@
 	// minHolders is the number of controllers on other hosts that hold streams which the leader
 	// can't record.
 	minHolders = 2
-	// maxRelayedStreams is the number of streams in one attempt.
+	// maxRelayedStreams is the number of streams in one attempt, and maxRelayAttempts that of
+	// attempts in flight.
 	maxRelayedStreams = 8192
+	maxRelayAttempts  = 2 * int(relayTimeout/relayInterval)
 )
 
 // relay has controllers that don't lead pass on what the leader doesn't get over the link.
@@ -38,10 +40,13 @@
 	host string
 
 	// The following fields belong to the control goroutine.
-	busy bool
-	// held is the position in Link.unconfirmed up to which enough controllers hold the streams.
-	held uint64
-	// again is when held streams are sent once more.
+
+	// attempts is the number of attempts in flight. A stream doesn't wait for the answer about
+	// those before: it takes a commit, and without a leader several times relayInterval.
+	attempts int
+	// sent is the position in Link.unconfirmed up to which streams were sent and not in vain.
+	sent uint64
+	// again is when streams that are still unconfirmed are sent once more.
 	again steady.Time
 	// preferred is the controller that had streams recorded last.
 	preferred string
@@ -87,12 +92,12 @@
 // there are some and it is silent.
 func (l *Link) relayStreams(ctx context.Context) {
 	now := steady.Now()
-	if l.relay.busy || l.unconfirmed.Len() == 0 || !l.silent(now) {
+	if l.relay.attempts >= maxRelayAttempts || l.unconfirmed.Len() == 0 || !l.silent(now) {
 		return
 	}
-	begin := l.relay.held
+	begin := max(l.relay.sent, l.unconfirmed.Begin())
 	if !now.Before(l.relay.again) {
-		begin = 0
+		begin = l.unconfirmed.Begin()
 		l.relay.again = now.Add(relayAgainInterval)
 	}
 	batches, end := l.unconfirmed.From(begin, maxRelayedStreams)
@@ -104,7 +109,8 @@
 		l.log.Error("origins of streams can't be encoded", "cause", err)
 		return
 	}
-	l.relay.busy = true
+	l.relay.attempts++
+	l.relay.sent = end
 	addresses := l.relay.order(l.addresses())
 	go func() {
 		result := l.relay.deliver(ctx, addresses, data)
@@ -120,7 +126,7 @@
 
 // handleRelayed handles the end of an attempt.
 func (l *Link) handleRelayed(r relayed) {
-	l.relay.busy = false
+	l.relay.attempts--
 	if r.by != "" && l.relay.preferred == "" {
 		l.log.Info("streams are recorded through a controller that doesn't lead", "controller", r.by, "unconfirmed_streams", l.unconfirmed.Len())
 	}
@@ -128,10 +134,10 @@
 	switch {
 	case r.by != "" && r.begin <= l.unconfirmed.Begin():
 		l.unconfirmed.Confirm(r.end)
-	case r.by != "":
+	case r.by != "" && l.relay.attempts == 0:
 		l.relay.again = 0 // those before can be recorded now, too
-	case r.held:
-		l.relay.held = r.end
+	case r.by == "" && !r.held:
+		l.relay.sent = min(l.relay.sent, r.begin)
 	}
 }
 
--- a/gateway/internal/controller/relay_test.go
+++ b/gateway/internal/controller/relay_test.go
@@ -22,6 +22,7 @@
 	rpc.Controller // nil: only RecordStreams is called
 	records        bool
 	answers        bool
+	delay          time.Duration // of answers
 	address        string
 
 	mu      sync.Mutex
@@ -37,6 +38,14 @@
 	if err := state.Decode(request.Batches, &batches); err != nil {
 		return nil, err
 	}
+	f.record(batches)
+	time.Sleep(f.delay)
+	return &rpc.RecordStreamsReply{
+		Recorded: f.records,
+	}, nil
+}
+
+func (f *fakeFollower) record(batches []origin.Batch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, b := range batches {
@@ -44,9 +53,6 @@
 			f.streams[s] = b.Version
 		}
 	}
-	return &rpc.RecordStreamsReply{
-		Recorded: f.records,
-	}, nil
 }
 
 func (f *fakeFollower) has(s origin.Stream) bool {
@@ -93,6 +99,21 @@
 	is.Equal(l.View().Leader, "")
 }
 
+// TestRelayedStreamsDontWait guards against streams that are lost with their gateway since it waited
+// for the answer about those before: the leader's disk is slow, or there is no leader.
+func TestRelayedStreamsDontWait(t *testing.T) {
+	is := is.New(t)
+	follower := startFollower(t, true, true)
+	follower.delay = 800 * time.Millisecond
+	l := startLink(t, []string{follower.address}, time.Minute)
+	for s := range origin.Stream(4) {
+		reportBegun(l, s+1)
+		reported := time.Now()
+		eventually(t, "not relayed", func() bool { return follower.has(s + 1) })
+		is.True(time.Since(reported) < follower.delay/2)
+	}
+}
+
 // TestStreamsAreRelayedUntilConfirmed guards against streams that are lost with a leader that
 // receives the reports of a gateway and is cut off from the others: it confirms nothing.
 func TestStreamsAreRelayedUntilConfirmed(t *testing.T) {
