--- a/controller/internal/peer/fleet_test.go
+++ b/controller/internal/peer/fleet_test.go
@@ -1,8 +1,10 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -56,8 +58,14 @@
 	mu     sync.Mutex
 	fault  diskFault
 	writes int // that failed
+	// slow are the writes for which the machine's own disk took longer than slowOwnWrite.
+	slow []string
 }
 
+// slowOwnWrite is how long a write to the machine's disk may take without being logged when a test
+// fails. Bounds of the tests hold for disks that are faster.
+const slowOwnWrite = 50 * time.Millisecond
+
 // diskFault is a fault of one disk, during which the process lives on. The zero value is
 // none.
 type diskFault struct {
@@ -93,10 +101,21 @@
 	if fault.err != nil && !fault.written {
 		return fault.err
 	}
-	if err := carryOut(); err != nil {
-		return err
+	started := time.Now()
+	err := carryOut()
+	if took := time.Since(started); took > slowOwnWrite {
+		d.mu.Lock()
+		d.slow = append(d.slow, fmt.Sprintf("%s: %s", started.Format(time.TimeOnly), took))
+		d.mu.Unlock()
 	}
-	return fault.err
+	return cmp.Or(err, fault.err)
+}
+
+// slowWrites returns the begin and time of the writes that were slow without a fault.
+func (d *faultyDisk) slowWrites() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.slow
 }
 
 // open returns the error of opening the data folder.
@@ -284,6 +303,7 @@
 				} else {
 					f.t.Logf("%s: no replica", h.address)
 				}
+				f.t.Logf("%s: slow writes to the machine's disk: %s", h.address, h.disk.slowWrites())
 			}
 			f.t.Fatalf("%s: not within %s", what, bound)
 		}
