--- a/gateway/internal/controller/relay.go
+++ b/gateway/internal/controller/relay.go
@@ -44,7 +44,8 @@
 	// attempts is the number of attempts in flight. A stream doesn't wait for the answer about
 	// those before: it takes a commit, and without a leader several times relayInterval.
 	attempts int
-	// sent is the position in Link.unconfirmed up to which streams were sent and not in vain.
+	// sent is the position in Link.unconfirmed up to which all streams were in an attempt that has
+	// not failed.
 	sent uint64
 	// again is when streams that are still unconfirmed are sent once more.
 	again steady.Time
