--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 # within milliseconds; on a shared one a write may take half a second. Tests of slow disks slow them.
 MEMORY_FOLDER := /dev/shm
 MEMORY_FREE_KB := $(shell df -k --output=avail $(MEMORY_FOLDER) 2>/dev/null | tail -1)
-TEST_TMP := $(shell [ -w $(MEMORY_FOLDER) ] && [ "$(MEMORY_FREE_KB)" -ge 2000000 ] && echo TMPDIR=$(MEMORY_FOLDER) GOTMPDIR=$${TMPDIR:-/tmp})
+TEST_EXEC := $(shell [ -w $(MEMORY_FOLDER) ] && [ "$(MEMORY_FREE_KB)" -ge 2000000 ] && echo -exec \"env GOTMPDIR=$(MEMORY_FOLDER) TMPDIR=$(MEMORY_FOLDER)\")
 # The tests that KNOWN-RED.txt lists are passed over, by their whole names.
 KNOWN_RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd '|' -)
 
@@ -26,7 +26,7 @@
 	go build -o $(BIN)/ ./baobabctl ./controller ./gateway ./sidecar ./standin ./bench/cmd/...
 
 test: build
-	$(TEST_TMP) BAOBABPADDLE_BIN=$(CURDIR)/$(BIN) go test -count=1 -p $(PACKAGES_AT_ONCE) -parallel $(TESTS_AT_ONCE) -skip '^($(KNOWN_RED))$$' $$(go list $(PACKAGES) | grep -v '/bench/crowd$$')
+	BAOBABPADDLE_BIN=$(CURDIR)/$(BIN) go test -count=1 $(TEST_EXEC) -p $(PACKAGES_AT_ONCE) -parallel $(TESTS_AT_ONCE) -skip '^($(KNOWN_RED))$$' $$(go list $(PACKAGES) | grep -v '/bench/crowd$$')
 	$(MAKE) test-crowd
 
 test-crowd: build
