--- a/fleet/connlimit/order.go
+++ b/fleet/connlimit/order.go
@@ -24,6 +24,17 @@
 	Answering
 )
 
+var phaseNames = [...]string{
+	Idle:        "idle",
+	ReadingHead: "reading_head",
+	ReadingBody: "reading_body",
+	Stalled:     "stalled",
+	Answering:   "answering",
+}
+
+// String returns the name of the phase in logs and metrics.
+func (p Phase) String() string { return phaseNames[p] }
+
 // Holder is one connection and what it holds.
 type Holder struct {
 	// Peer is the host that the connection comes from.
--- a/gateway/internal/serve/conns.go
+++ b/gateway/internal/serve/conns.go
@@ -37,9 +37,9 @@
 	idleConns list.List                  // of idleConn, longest idle first
 	// closed is told of each connection that is given up at a limit, with its peer.
 	closed func(peer netip.Addr, cause string)
-	// dropped is called when bytes arrive on a connection that is being closed. After is the time
-	// since the decision to close it.
-	dropped func(peer netip.Addr, cause string, after time.Duration)
+	// dropped is called when a request, or a part of one, is dropped, since its connection is being
+	// closed.
+	dropped func(peer netip.Addr, d closeDecision)
 	// reserve reserves memory for a head that arrives on a connection, and release returns it.
 	reserve func(t *trackedConn, n int64) bool
 	release func(t *trackedConn, n int64)
@@ -76,7 +76,7 @@
 		open:        make(map[net.Conn]*list.Element),
 		ended:       make(chan struct{}, 1),
 		closed:      func(netip.Addr, string) {},
-		dropped:     func(netip.Addr, string, time.Duration) {},
+		dropped:     func(netip.Addr, closeDecision) {},
 		reserve:     func(*trackedConn, int64) bool { return true },
 		release:     func(*trackedConn, int64) {},
 	}
@@ -135,7 +135,7 @@
 	}
 	// The server then reports StateClosed, which removes it from c.open.
 	if tracked {
-		t.end(cause)
+		t.end(cause, connlimit.Idle)
 	} else {
 		go conn.Close()
 	}
@@ -281,7 +281,7 @@
 			continue
 		}
 		if t.overdue && t.endLate(since) {
-			t.end(causeLateHead)
+			t.end(causeLateHead, connlimit.ReadingHead)
 		}
 		t.overdue = true
 	}
--- a/gateway/internal/serve/held.go
+++ b/gateway/internal/serve/held.go
@@ -59,22 +59,22 @@
 	droppedLogMaxInterval = 30 * time.Second
 )
 
-// reportDropped returns a function that counts connections on which bytes arrived while they were
-// being closed, and logs them at growing intervals. It is safe for concurrent use.
-func reportDropped(metrics *telemetry.Metrics, log *slog.Logger) func(netip.Addr, string, time.Duration) {
+// reportDropped returns a function that counts requests that were dropped, since their connections
+// were being closed, and logs them at growing intervals. It is safe for concurrent use.
+func reportDropped(metrics *telemetry.Metrics, log *slog.Logger) func(netip.Addr, closeDecision) {
 	var mu sync.Mutex
 	since := 0 // the last line
 	pace := telemetry.Pace{
 		First: droppedLogInterval,
 		Max:   droppedLogMaxInterval,
 	}
-	return func(peer netip.Addr, cause string, after time.Duration) {
-		metrics.Counter(`gateway_requests_dropped_total{cause="` + cause + `"}`).Inc()
+	return func(peer netip.Addr, d closeDecision) {
+		metrics.Counter(`gateway_requests_dropped_total{cause="` + d.cause + `",phase="` + d.phase.String() + `"}`).Inc()
 		mu.Lock()
 		defer mu.Unlock()
 		since++
 		if pace.Due(time.Now()) {
-			log.Warn("request arrived on a connection that is being closed", "cause", cause, "decided_ms_before", after.Milliseconds(), "peer", peer, "dropped", since)
+			log.Warn("request arrived on a connection that is being closed", "cause", d.cause, "phase", d.phase.String(), "decided_ms_before", time.Since(d.at).Milliseconds(), "peer", peer, "dropped", since)
 			since = 0
 		}
 	}
@@ -337,13 +337,13 @@
 // must be held. A request that is given up was not placed, except that of a stalled caller.
 func (c *Conns) giveUp(t *trackedConn, phase connlimit.Phase, cause string) bool {
 	if phase > connlimit.ReadingHead {
-		t.end(cause)
+		t.end(cause, phase)
 	} else if !c.closeIfIdle(t, cause) {
 		since := t.headSince()
 		if since == 0 || !t.endLate(since) {
 			return false
 		}
-		t.end(cause)
+		t.end(cause, phase)
 	}
 	t.givenUp = true
 	c.closed(t.peer, cause)
--- a/gateway/internal/serve/tracked_conn.go
+++ b/gateway/internal/serve/tracked_conn.go
@@ -62,6 +62,8 @@
 // closeDecision is why the gateway closes a connection, and when it decided so.
 type closeDecision struct {
 	cause string
+	// phase is how far the request on the connection had come.
+	phase connlimit.Phase
 	at    time.Time
 }
 
@@ -83,7 +85,9 @@
 		t.state.CompareAndSwap(connIdle, time.Now().UnixNano())
 	}
 	if t.state.Load() == connClosing {
-		t.reportDropped(n)
+		if n > 0 {
+			t.reportDropped()
+		}
 		return 0, errClosing
 	}
 	if n > 0 && t.state.Load() > 0 && !t.reserveHead(p[:n]) {
@@ -109,11 +113,11 @@
 	})
 }
 
-// reportDropped reports bytes that arrived and are dropped, since the gateway closes the
+// reportDropped reports that a request, or a part of one, is dropped, since the gateway closes the
 // connection.
-func (t *trackedConn) reportDropped(n int) {
-	if e := t.decision.Load(); n > 0 && e != nil && t.conns != nil {
-		t.conns.dropped(t.peer, e.cause, time.Since(e.at))
+func (t *trackedConn) reportDropped() {
+	if d := t.decision.Load(); d != nil && t.conns != nil {
+		t.conns.dropped(t.peer, *d)
 	}
 }
 
@@ -129,7 +133,7 @@
 	}
 	if !t.conns.reserve(t, more) {
 		if since := t.headSince(); since > 0 && t.endLate(since) {
-			t.end(connlimit.CauseMemory)
+			t.end(connlimit.CauseMemory, connlimit.ReadingHead)
 		}
 		t.conns.closed(t.peer, connlimit.CauseMemory)
 		return false
@@ -221,6 +225,7 @@
 	for {
 		state := t.state.Load()
 		if state == connClosing {
+			t.reportDropped()
 			return false
 		}
 		if t.state.CompareAndSwap(state, connAnswering) {
@@ -259,9 +264,10 @@
 // end closes a connection that endIdle or endLate has ended, or whose request is given up. The server
 // then reports StateClosed. CloseWrite tells the caller at once. Close may wait for the reading
 // goroutine, so another goroutine calls it, which may start late on a busy host.
-func (t *trackedConn) end(cause string) {
+func (t *trackedConn) end(cause string, phase connlimit.Phase) {
 	t.decision.Store(&closeDecision{
 		cause: cause,
+		phase: phase,
 		at:    time.Now(),
 	})
 	_ = t.CloseWrite() // fails only if the connection has ended already
