--- a/fleet/problem/problem.go
+++ b/fleet/problem/problem.go
@@ -27,6 +27,7 @@
 	BodyTooLarge     Code = "body_too_large"
 	HeadTooLarge     Code = "head_too_large"
 	BodyTruncated    Code = "body_truncated"
+	HeadTruncated    Code = "head_truncated"
 	MalformedBody    Code = "malformed_body"
 	PromptCrashes    Code = "prompt_crashes_upstreams"
 	RequestCrashes   Code = "request_crashes_upstreams"
--- a/gateway/internal/serve/conns.go
+++ b/gateway/internal/serve/conns.go
@@ -40,6 +40,8 @@
 	// dropped is called when a request, or a part of one, is dropped, since its connection is being
 	// closed.
 	dropped func(peer netip.Addr, d closeDecision)
+	// refusal returns the answer to a request whose connection is closed for the cause.
+	refusal func(cause string) []byte
 	// reserve reserves memory for a head that arrives on a connection, and release returns it.
 	reserve func(t *trackedConn, n int64) bool
 	release func(t *trackedConn, n int64)
@@ -77,6 +79,7 @@
 		ended:       make(chan struct{}, 1),
 		closed:      func(netip.Addr, string) {},
 		dropped:     func(netip.Addr, closeDecision) {},
+		refusal:     func(cause string) []byte { return newConnRefusal(cause, "1") },
 		reserve:     func(*trackedConn, int64) bool { return true },
 		release:     func(*trackedConn, int64) {},
 	}
@@ -263,8 +266,8 @@
 }
 
 // pruneLateHeads closes connections whose head is late; mu must be held. A connection is
-// closed only if it is late in two scans: after a pause of the process a head may look
-// late that has arrived meanwhile.
+// closed only if it is late in two scans and more of its head has to arrive: after a pause of the
+// process a head may look late that has arrived meanwhile.
 func (c *Conns) pruneLateHeads(now time.Time) {
 	limit := c.headTimeout()
 	if limit <= 0 {
@@ -280,7 +283,7 @@
 			t.overdue = false
 			continue
 		}
-		if t.overdue && t.endLate(since) {
+		if t.overdue && t.headIncomplete() && t.endHead(since) {
 			t.end(causeLateHead, connlimit.ReadingHead)
 		}
 		t.overdue = true
--- a/gateway/internal/serve/tracked_conn.go
+++ b/gateway/internal/serve/tracked_conn.go
@@ -42,6 +42,9 @@
 
 	conns *Conns
 	peer  netip.Addr
+	// waiting is true while the reader waits for more of a head, or for the first byte of one, and
+	// the socket has none.
+	waiting atomic.Bool
 	// held is the memory reserved for the connection, in bytes.
 	held atomic.Int64
 	// idleSince, bodySince and writeSince are when the connection became idle, when the body of
@@ -77,7 +80,7 @@
 
 // Read implements net.Conn. It returns nothing once the gateway closes the connection.
 func (t *trackedConn) Read(p []byte) (int, error) {
-	if t.state.Load() == connIdle {
+	if t.state.Load() >= connIdle {
 		t.awaitHead()
 	}
 	n, err := t.Conn.Read(p)
@@ -91,13 +94,13 @@
 		return 0, errClosing
 	}
 	if n > 0 && t.state.Load() > 0 && !t.reserveHead(p[:n]) {
-		return 0, errClosing
+		return 0, errClosing // the caller was refused
 	}
 	return n, err
 }
 
-// awaitHead waits until bytes have arrived and records that before they are taken from the kernel,
-// where endIdle looks for them. It does nothing if the connection has no socket.
+// awaitHead waits until bytes of a head have arrived and records that before they are taken from the
+// kernel, where endIdle looks for them. It does nothing if the connection has no socket.
 func (t *trackedConn) awaitHead() {
 	access := t.socket()
 	if access == nil {
@@ -109,8 +112,11 @@
 		if n > 0 {
 			t.state.CompareAndSwap(connIdle, time.Now().UnixNano())
 		}
-		return !errors.Is(err, syscall.EAGAIN)
+		none := errors.Is(err, syscall.EAGAIN)
+		t.waiting.Store(none)
+		return !none
 	})
+	t.waiting.Store(false)
 }
 
 // reportDropped reports that a request, or a part of one, is dropped, since the gateway closes the
@@ -132,7 +138,7 @@
 		return true
 	}
 	if !t.conns.reserve(t, more) {
-		if since := t.headSince(); since > 0 && t.endLate(since) {
+		if since := t.headSince(); since > 0 && t.endHead(since) {
 			t.end(connlimit.CauseMemory, connlimit.ReadingHead)
 		}
 		t.conns.closed(t.peer, connlimit.CauseMemory)
@@ -159,49 +165,6 @@
 	return nil
 }
 
-// socket returns access to the connection's socket, or nil if it has none.
-func (t *trackedConn) socket() syscall.RawConn {
-	socket, ok := t.Conn.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	access, err := socket.SyscallConn()
-	if err != nil {
-		return nil
-	}
-	return access
-}
-
-// peekByte returns the number of bytes that a read of one byte would return, without waiting and
-// without taking it.
-func peekByte(fd uintptr) (int, error) {
-	for {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		if err != syscall.EINTR {
-			return n, err
-		}
-	}
-}
-
-// peek reports without waiting whether bytes have arrived that were not read, and whether the
-// caller closed or reset the connection and all bytes that it sent before were read.
-func (t *trackedConn) peek() (unread, closed bool) {
-	access := t.socket()
-	if access == nil {
-		return false, false
-	}
-	// Read would wait for the pending read of the server, Control does not.
-	if err := access.Control(func(fd uintptr) {
-		n, err := peekByte(fd)
-		unread = n > 0
-		closed = err == nil && n == 0 || err != nil && !errors.Is(err, syscall.EAGAIN)
-	}); err != nil {
-		return false, false
-	}
-	return unread, closed
-}
-
 // closedByCaller reports whether the caller closed or reset the connection and all bytes
 // that it sent before were read.
 func (t *trackedConn) closedByCaller() bool {
@@ -255,25 +218,50 @@
 	return t.state.CompareAndSwap(connIdle, connClosing)
 }
 
-// endLate makes a connection whose head is late one that the gateway closes. It reports whether
-// the head that has been arriving since the given time was still being read.
-func (t *trackedConn) endLate(since int64) bool {
+// headIncomplete reports whether more of the head that is being read has to arrive. Of a connection
+// without a socket it is not known, and the head counts as incomplete.
+func (t *trackedConn) headIncomplete() bool {
+	if t.socket() == nil {
+		return true
+	}
+	if !t.waiting.Load() {
+		return false
+	}
+	unread, _ := t.peek()
+	return !unread
+}
+
+// endHead makes a connection on which a head is being read one that the gateway closes. It reports
+// whether the head that has been arriving since the given time was still being read.
+func (t *trackedConn) endHead(since int64) bool {
 	return t.state.CompareAndSwap(since, connClosing)
 }
 
-// end closes a connection that endIdle or endLate has ended, or whose request is given up. The server
-// then reports StateClosed. CloseWrite tells the caller at once. Close may wait for the reading
-// goroutine, so another goroutine calls it, which may start late on a busy host.
+// end closes a connection that endIdle or endHead has ended, or whose request is given up. The server
+// then reports StateClosed. CloseWrite tells the caller at once; if a request, or a part of one, has
+// arrived, it is refused first. Close may wait for the reading goroutine, so another goroutine calls
+// it, which may start late on a busy host.
 func (t *trackedConn) end(cause string, phase connlimit.Phase) {
 	t.decision.Store(&closeDecision{
 		cause: cause,
 		phase: phase,
 		at:    time.Now(),
 	})
+	if unread, _ := t.peek(); t.conns != nil && (phase == connlimit.ReadingHead || phase == connlimit.Idle && unread) {
+		t.sendNow(t.conns.refusal(cause))
+	}
 	_ = t.CloseWrite() // fails only if the connection has ended already
 	go t.Close()
 }
 
+// Close implements net.Conn.
+func (t *trackedConn) Close() error {
+	if t.state.Load() == connClosing {
+		t.drain()
+	}
+	return t.Conn.Close()
+}
+
 // trackingListener accepts connections as *trackedConn.
 type trackingListener struct {
 	net.Listener
