--- a/gateway/internal/serve/closing_test.go
+++ b/gateway/internal/serve/closing_test.go
@@ -302,7 +302,7 @@
 				is.NoErr(err)
 				_, err = conn.Read(make([]byte, 10))
 				is.NoErr(err)
-				go conn.Read(make([]byte, 10)) // waits for the rest, like the server
+				go func() { _, _ = conn.Read(make([]byte, 10)) }() // waits for the rest, like the server
 				for end := time.Now().Add(5 * time.Second); !conn.waiting.Load() && time.Now().Before(end); {
 					time.Sleep(time.Millisecond)
 				}
--- a/gateway/internal/serve/give_up.go
+++ b/gateway/internal/serve/give_up.go
@@ -138,19 +138,58 @@
 	}
 }
 
-// giveUp closes a connection in a phase unless it has left it, and reports whether it did; mu
+// giveUp gives up a connection in a phase unless it has left it, and reports whether it did; mu
 // must be held. A request that is given up was not placed, except that of a stalled caller.
 func (c *Conns) giveUp(t *trackedConn, phase connlimit.Phase, cause string) bool {
-	if phase > connlimit.ReadingHead {
-		t.end(cause, phase)
-	} else if !c.closeIfIdle(t, cause) {
-		since := t.headSince()
-		if since == 0 || !t.headIncomplete() || !t.endHead(since) {
-			return false
-		}
-		t.end(cause, phase)
+	var given bool
+	switch phase {
+	case connlimit.Stalled:
+		given = t.endStalled(cause)
+	case connlimit.ReadingBody:
+		given = t.endBody(cause)
+	default:
+		given = c.closeIfIdle(t, cause) || t.endIncompleteHead(cause)
+	}
+	if given {
+		t.givenUp = true
+		c.closed(t.peer, cause)
+	}
+	return given
+}
+
+// endStalled closes a connection whose caller does not read, and reports whether a write still waits
+// for it.
+func (t *trackedConn) endStalled(cause string) bool {
+	if !t.writeSince.CompareAndSwap(t.stalledWrite, 0) {
+		return false
+	}
+	t.end(cause, connlimit.Stalled)
+	return true
+}
+
+// endBody refuses a request whose body is being read, and reports whether the reading had not ended. If
+// the request is refused already, its refusal is sent without waiting for the rest of the body.
+func (t *trackedConn) endBody(cause string) bool {
+	since := t.bodySince.Load()
+	if since <= 0 || !t.bodySince.CompareAndSwap(since, bodyGivenUp) {
+		return false
+	}
+	if t.refused.Load() {
+		_ = t.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection has ended already
+		return true
+	}
+	t.state.Store(connClosing)
+	t.end(cause, connlimit.ReadingBody)
+	return true
+}
+
+// endIncompleteHead closes a connection on which a part of a head has arrived, and reports whether more
+// of it has to arrive.
+func (t *trackedConn) endIncompleteHead(cause string) bool {
+	since := t.headSince()
+	if since == 0 || !t.headIncomplete() || !t.endHead(since) {
+		return false
 	}
-	t.givenUp = true
-	c.closed(t.peer, cause)
+	t.end(cause, connlimit.ReadingHead)
 	return true
 }
--- /dev/null
+++ b/gateway/internal/serve/give_up_test.go
@@ -0,0 +1,86 @@
+package serve
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"baobabpaddle/fleet/connlimit"
+)
+
+// onlyConn waits for a connection of the gateway on which a body is being read, and returns it.
+func onlyConn(t *testing.T, g *testGateway) *trackedConn {
+	t.Helper()
+	conns := g.handler.Conns()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		conns.mu.Lock()
+		for c := range conns.open {
+			if t := c.(*trackedConn); t.bodySince.Load() > 0 {
+				conns.mu.Unlock()
+				return t
+			}
+		}
+		conns.mu.Unlock()
+	}
+	t.Fatal("no body is being read")
+	return nil
+}
+
+// giveUpBody gives up a connection as one on which a body is being read.
+func giveUpBody(g *testGateway, conn *trackedConn) bool {
+	conns := g.handler.Conns()
+	conns.mu.Lock()
+	defer conns.mu.Unlock()
+	return conns.giveUp(conn, connlimit.ReadingBody, connlimit.CauseMemory)
+}
+
+// TestWholeBodyIsNotGivenUp guards against a request that is cut after it was passed on: its body was
+// being read when its connection was chosen, and was read when it was closed.
+func TestWholeBodyIsNotGivenUp(t *testing.T) {
+	is := is.New(t)
+	var g *testGateway
+	var conn *trackedConn
+	chosen := make(chan bool)
+	g, address := newTrackedGateway(t, func(w net.Conn, r *http.Request) bool {
+		chosen <- giveUpBody(g, conn)
+		return reply("200 OK", stamp, "yes")(w, r)
+	})
+	caller := dialRaw(t, address, "POST /book/ HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n12345")
+	conn = onlyConn(t, g)
+	_, err := io.WriteString(caller, "67890")
+	is.NoErr(err)
+	is.Equal(<-chosen, false)
+	is.Equal(readStatus(t, caller), http.StatusOK)
+}
+
+// TestGivenUpBodyIsRefused guards against a request that gets no answer, since its connection is given
+// up while its body arrives. It must not be passed on.
+func TestGivenUpBodyIsRefused(t *testing.T) {
+	is := is.New(t)
+	g, address := newTrackedGateway(t, reply("200 OK", stamp, "yes"))
+	caller := dialRaw(t, address, "POST /book/ HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n12345")
+	is.True(giveUpBody(g, onlyConn(t, g)))
+	_, err := io.WriteString(caller, "67890")
+	is.NoErr(err)
+	is.Equal(readStatus(t, caller), http.StatusServiceUnavailable)
+	_, err = io.Copy(io.Discard, caller)
+	is.True(err == nil || !strings.Contains(err.Error(), "timeout")) // it was closed
+	is.Equal(g.requestCount(), 0)
+}
+
+// TestRefusalIsNotCut guards against a refusal that its caller doesn't get: the connection was given up
+// while the rest of the body of the refused request arrived.
+func TestRefusalIsNotCut(t *testing.T) {
+	is := is.New(t)
+	g, address := newTrackedGateway(t)
+	caller := dialRaw(t, address, "POST /nothing/ HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n12345")
+	started := time.Now()
+	is.True(giveUpBody(g, onlyConn(t, g)))
+	is.Equal(readStatus(t, caller), http.StatusNotFound)
+	is.True(time.Since(started) < unreadBodyTimeout)
+}
--- a/gateway/internal/serve/held.go
+++ b/gateway/internal/serve/held.go
@@ -142,6 +142,9 @@
 	}
 	// Without a deadline the answer waits for a caller that sends no more.
 	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	if t := x.held.conn; t != nil {
+		t.refused.Store(true)
+	}
 	x.beginBody() // lasts until the answer is sent
 }
 
@@ -191,15 +194,16 @@
 	return true
 }
 
-// beginBody records that the body of the request arrives, and endBody that it has.
+// beginBody records that the body of the request arrives.
 func (x *exchange) beginBody() {
 	if t := x.held.conn; t != nil {
 		t.bodySince.Store(time.Now().UnixNano())
 	}
 }
 
-func (x *exchange) endBody() {
-	if t := x.held.conn; t != nil {
-		t.bodySince.Store(0)
-	}
+// endBody records that the reading of the body has ended. It reports whether the request was given up
+// meanwhile; it must not be handled then.
+func (x *exchange) endBody() (givenUp bool) {
+	t := x.held.conn
+	return t != nil && t.bodySince.Swap(0) == bodyGivenUp
 }
--- a/gateway/internal/serve/limits.go
+++ b/gateway/internal/serve/limits.go
@@ -80,7 +80,8 @@
 var errBodyMemory = errors.New("request body exceeds the memory left for bodies of all requests")
 
 // readBody reads the whole body of the request. If it can't, it sends the refusal and
-// returns false.
+// returns false. It panics with http.ErrAbortHandler if the request was given up and refused
+// meanwhile.
 func (x *exchange) readBody() bool {
 	if x.r.Body == nil || x.r.Body == http.NoBody || x.r.ContentLength == 0 {
 		return true
@@ -93,13 +94,16 @@
 		x.refuse(http.StatusRequestEntityTooLarge, problem.BodyTooLarge, "the body is too large", 0)
 		return false
 	}
-	x.beginBody()
-	defer x.endBody()
 	control := http.NewResponseController(x.w)
 	// If the deadline can't be set, the read fails as well.
 	_ = control.SetReadDeadline(x.deadline)
+	x.beginBody()
 	err := x.receive(http.MaxBytesReader(x.w, x.r.Body, limit))
 	x.held.bodyRead = true
+	if x.endBody() {
+		x.held.conn.reportDropped()
+		panic(http.ErrAbortHandler) // its caller was refused
+	}
 	if err == nil {
 		// The connection may be reused, and the server detects with a read without a
 		// deadline that the caller closes it.
--- a/gateway/internal/serve/tracked_conn.go
+++ b/gateway/internal/serve/tracked_conn.go
@@ -23,6 +23,9 @@
 	connClosing int64 = -2
 )
 
+// bodyGivenUp is the bodySince of a request that is given up.
+const bodyGivenUp int64 = -1
+
 // trackedConn is a caller's connection that records whether a request has begun to
 // arrive on it. The server reports a connection as active only once a whole head was
 // read.
@@ -49,10 +52,12 @@
 	held atomic.Int64
 	// idleSince, bodySince and writeSince are when the connection became idle, when the body of
 	// a request began to arrive and when a write began, in Unix nanoseconds; zero while the
-	// latter don't last.
+	// latter don't last. Refused is true while the request has been refused and the rest of its
+	// body arrives.
 	idleSince  atomic.Int64
 	bodySince  atomic.Int64
 	writeSince atomic.Int64
+	refused    atomic.Bool
 	kept       atomic.Bool // a request was answered on it
 	// decision is set once the gateway has decided to close the connection.
 	decision atomic.Pointer[closeDecision]
@@ -200,6 +205,7 @@
 // responseDone records that the request was answered.
 func (t *trackedConn) responseDone() {
 	t.bodySince.Store(0)
+	t.refused.Store(false)
 	t.writeSince.Store(0)
 	t.idleSince.Store(time.Now().UnixNano())
 	t.kept.Store(true)
@@ -247,11 +253,11 @@
 		phase: phase,
 		at:    time.Now(),
 	})
-	if unread, _ := t.peek(); t.conns != nil && (phase == connlimit.ReadingHead || phase == connlimit.Idle && unread) {
+	if unread, _ := t.peek(); t.conns != nil && (phase == connlimit.ReadingHead || phase == connlimit.ReadingBody || phase == connlimit.Idle && unread) {
 		t.sendNow(t.conns.refusal(cause))
 	}
 	_ = t.CloseWrite() // fails only if the connection has ended already
-	go t.Close()
+	go func(c net.Conn) { c.Close() }(t)
 }
 
 // Close implements net.Conn.
