--- /dev/null
+++ b/gateway/internal/serve/conn_bound.go
@@ -0,0 +1,120 @@
+package serve
+
+import (
+	"math"
+	"net"
+
+	"baobabpaddle/fleet/connlimit"
+)
+
+// overLimitFraction is the part of maxOpen by which the connections may exceed it while none of
+// them can be given up, or while those that were given up are being closed.
+const overLimitFraction = 0.1
+
+// beyondBound reports whether more connections of Listener are not closed than allowed; mu must be
+// held.
+func (c *Conns) beyondBound() bool {
+	return float64(c.descriptors.Load()) > math.Ceil((1+overLimitFraction)*float64(c.maxOpen))
+}
+
+// makeRoom gives up one connection for a new one; mu must be held.
+func (c *Conns) makeRoom() {
+	if c.giveUpOne() {
+		return
+	}
+	for e := c.idleConns.Front(); e != nil; e = e.Next() { // those that are not of Listener
+		if c.closeIfIdle(e.Value.(idleConn).conn, connlimit.CauseConns) {
+			return
+		}
+	}
+}
+
+// admit reports whether a new connection keeps the bound on descriptors, for which it may give up
+// another one. If not, it refuses what has arrived on the new one and closes it.
+func (c *Conns) admit(t *trackedConn) bool {
+	c.descriptors.Add(1)
+	c.mu.Lock()
+	beyond := c.beyondBound()
+	if beyond {
+		c.makeRoom()
+	}
+	c.unlockForNew()
+	if beyond {
+		c.mu.Lock()
+		beyond = c.beyondBound()
+		c.mu.Unlock()
+	}
+	if !beyond {
+		return true
+	}
+	t.state.Store(connClosing)
+	t.end(connlimit.CauseConns, connlimit.Idle)
+	closeConn(t)
+	c.closed(t.peer, connlimit.CauseConns)
+	return false
+}
+
+// end ends a connection and has unlock close it; mu must be held. The server then reports StateClosed.
+func (c *Conns) end(t *trackedConn, cause string, phase connlimit.Phase) {
+	t.end(cause, phase)
+	c.ending = append(c.ending, t)
+}
+
+// unlock releases mu and closes the connections that were ended meanwhile. Close waits until a read of
+// the connection has returned, so goroutines call it.
+func (c *Conns) unlock() {
+	for _, t := range c.takeEnding() {
+		go closeConn(t)
+	}
+}
+
+// unlockForNew is unlock for the goroutine that accepts connections. A reader that waits for bytes
+// returns at once, and the descriptor is free before another connection is accepted.
+func (c *Conns) unlockForNew() {
+	for _, t := range c.takeEnding() {
+		if t.waiting.Load() {
+			closeConn(t)
+		} else {
+			go closeConn(t)
+		}
+	}
+}
+
+// takeEnding releases mu and returns the connections that were ended meanwhile.
+func (c *Conns) takeEnding() []*trackedConn {
+	defer c.mu.Unlock()
+	ending := c.ending
+	c.ending = nil
+	return ending
+}
+
+// closeConn closes a connection. It may have been closed by its peer.
+func closeConn(c net.Conn) { c.Close() }
+
+// trackingListener accepts connections as *trackedConn.
+type trackingListener struct {
+	net.Listener
+	conns *Conns
+}
+
+// Accept implements net.Listener. Connections beyond the bound on descriptors are refused at once.
+func (l trackingListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if t := newTrackedConn(c, l.conns); l.conns.admit(t) {
+			return t, nil
+		}
+	}
+}
+
+// Listener returns a listener that accepts from l the connections of a server whose
+// ConnState and ConnContext are those of c.
+func (c *Conns) Listener(l net.Listener) net.Listener {
+	return trackingListener{
+		Listener: l,
+		conns:    c,
+	}
+}
--- a/gateway/internal/serve/conns.go
+++ b/gateway/internal/serve/conns.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"baobabpaddle/fleet/connlimit"
@@ -48,8 +49,10 @@
 	// toGiveUp are connections that may be given up, the first to go first, as of orderedAt.
 	toGiveUp  []ordered
 	orderedAt time.Time
-	// ended receives a value after a connection has ended.
-	ended chan struct{}
+	// ending are connections that were ended under mu and have to be closed.
+	ending []*trackedConn
+	// descriptors is the number of connections of Listener that are not closed.
+	descriptors atomic.Int64
 	// closing is true after CloseIdle: connections that nothing arrives on are closed.
 	closing bool
 }
@@ -76,7 +79,6 @@
 		idleTimeout: idleTimeout,
 		headTimeout: headTimeout,
 		open:        make(map[net.Conn]*list.Element),
-		ended:       make(chan struct{}, 1),
 		closed:      func(netip.Addr, string) {},
 		dropped:     func(netip.Addr, closeDecision) {},
 		refusal:     func(cause string) []byte { return newConnRefusal(cause, "1") },
@@ -89,7 +91,11 @@
 // http.Server.ConnState.
 func (c *Conns) ConnState(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	if state == http.StateNew {
+		defer c.unlockForNew()
+	} else {
+		defer c.unlock()
+	}
 	if e := c.open[conn]; e != nil {
 		c.idleConns.Remove(e)
 	}
@@ -107,16 +113,12 @@
 		})
 	default:
 		delete(c.open, conn)
-		select {
-		case c.ended <- struct{}{}:
-		default: // one is pending
-		}
 		if t, ok := conn.(*trackedConn); ok {
 			c.releaseHead(t)
 		}
 	}
 	if state == http.StateNew && len(c.open) > c.maxOpen {
-		c.makeRoom(conn)
+		c.makeRoom()
 	}
 	if state == http.StateNew && c.closing {
 		c.closeIfIdle(conn, causeDrain)
@@ -138,61 +140,13 @@
 	}
 	// The server then reports StateClosed, which removes it from c.open.
 	if tracked {
-		t.end(cause, connlimit.Idle)
+		c.end(t, cause, connlimit.Idle)
 	} else {
 		go conn.Close()
 	}
 	return true
 }
 
-// overLimitFraction is the part of maxOpen by which the connections may exceed it while none of
-// them can be given up.
-const overLimitFraction = 0.1
-
-// makeRoom gives up one connection for a new one, or the new one if there is none to give up and
-// there are too many; mu must be held.
-func (c *Conns) makeRoom(added net.Conn) {
-	if c.giveUpOne() {
-		return
-	}
-	for e := c.idleConns.Front(); e != nil; e = e.Next() { // those that are not of Listener
-		if c.closeIfIdle(e.Value.(idleConn).conn, connlimit.CauseConns) {
-			return
-		}
-	}
-	if float64(len(c.open)) > (1+overLimitFraction)*float64(c.maxOpen) {
-		if t, ok := added.(*trackedConn); ok && c.closeIfIdle(added, connlimit.CauseConns) {
-			c.closed(t.peer, connlimit.CauseConns)
-		}
-	}
-}
-
-// maxEndTime is how long a new connection waits for the end of those that are given up.
-const maxEndTime = 100 * time.Millisecond
-
-// awaitRoom waits until the connections, with those that are being closed, are within the bound that
-// makeRoom keeps, or for maxEndTime.
-func (c *Conns) awaitRoom() {
-	var timeout <-chan time.Time
-	for c.full() {
-		if timeout == nil {
-			timeout = time.After(maxEndTime)
-		}
-		select {
-		case <-c.ended:
-		case <-timeout:
-			return
-		}
-	}
-}
-
-// full reports whether there are more connections than makeRoom keeps.
-func (c *Conns) full() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return float64(len(c.open)) > (1+overLimitFraction)*float64(c.maxOpen)
-}
-
 // NearLimit reports whether so many connections are open that callers whose requests are
 // refused should give theirs up.
 func (c *Conns) NearLimit() bool {
@@ -220,7 +174,7 @@
 // Busy counts are handled.
 func (c *Conns) CloseIdle() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	defer c.unlock()
 	c.closing = true
 	for conn := range c.open {
 		c.closeIfIdle(conn, causeDrain)
@@ -255,7 +209,7 @@
 		limit = defaultIdleTimeout
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	defer c.unlock()
 	for e := c.idleConns.Front(); e != nil && now.Sub(e.Value.(idleConn).since) > limit; {
 		conn := e.Value.(idleConn).conn
 		e = e.Next()
@@ -284,7 +238,7 @@
 			continue
 		}
 		if t.overdue && t.headIncomplete() && t.endHead(since) {
-			t.end(causeLateHead, connlimit.ReadingHead)
+			c.end(t, causeLateHead, connlimit.ReadingHead)
 		}
 		t.overdue = true
 	}
--- a/gateway/internal/serve/give_up.go
+++ b/gateway/internal/serve/give_up.go
@@ -74,7 +74,7 @@
 // reports whether there were enough.
 func (c *Conns) giveUpBytes(t *trackedConn, n int64) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	defer c.unlock()
 	least := minGivenUpFactor * (t.held.Load() + n)
 	conns, holders := c.holders(func(o *trackedConn) int64 {
 		held := o.held.Load()
@@ -144,11 +144,11 @@
 	var given bool
 	switch phase {
 	case connlimit.Stalled:
-		given = t.endStalled(cause)
+		given = c.endStalled(t, cause)
 	case connlimit.ReadingBody:
-		given = t.endBody(cause)
+		given = c.endBody(t, cause)
 	default:
-		given = c.closeIfIdle(t, cause) || t.endIncompleteHead(cause)
+		given = c.closeIfIdle(t, cause) || c.endIncompleteHead(t, cause)
 	}
 	if given {
 		t.givenUp = true
@@ -158,18 +158,19 @@
 }
 
 // endStalled closes a connection whose caller does not read, and reports whether a write still waits
-// for it.
-func (t *trackedConn) endStalled(cause string) bool {
+// for it; mu must be held.
+func (c *Conns) endStalled(t *trackedConn, cause string) bool {
 	if !t.writeSince.CompareAndSwap(t.stalledWrite, 0) {
 		return false
 	}
-	t.end(cause, connlimit.Stalled)
+	c.end(t, cause, connlimit.Stalled)
 	return true
 }
 
-// endBody refuses a request whose body is being read, and reports whether the reading had not ended. If
-// the request is refused already, its refusal is sent without waiting for the rest of the body.
-func (t *trackedConn) endBody(cause string) bool {
+// endBody refuses a request whose body is being read, and reports whether the reading had not ended;
+// mu must be held. If the request is refused already, its refusal is sent without waiting for the rest
+// of the body.
+func (c *Conns) endBody(t *trackedConn, cause string) bool {
 	since := t.bodySince.Load()
 	if since <= 0 || !t.bodySince.CompareAndSwap(since, bodyGivenUp) {
 		return false
@@ -179,17 +180,17 @@
 		return true
 	}
 	t.state.Store(connClosing)
-	t.end(cause, connlimit.ReadingBody)
+	c.end(t, cause, connlimit.ReadingBody)
 	return true
 }
 
 // endIncompleteHead closes a connection on which a part of a head has arrived, and reports whether more
-// of it has to arrive.
-func (t *trackedConn) endIncompleteHead(cause string) bool {
+// of it has to arrive; mu must be held.
+func (c *Conns) endIncompleteHead(t *trackedConn, cause string) bool {
 	since := t.headSince()
 	if since == 0 || !t.headIncomplete() || !t.endHead(since) {
 		return false
 	}
-	t.end(cause, connlimit.ReadingHead)
+	c.end(t, cause, connlimit.ReadingHead)
 	return true
 }
--- a/gateway/internal/serve/give_up_test.go
+++ b/gateway/internal/serve/give_up_test.go
@@ -84,3 +84,80 @@
 	is.Equal(readStatus(t, caller), http.StatusNotFound)
 	is.True(time.Since(started) < unreadBodyTimeout)
 }
+
+// TestCallerBeyondLimitIsRefused guards against a caller that waits in the backlog of the listener while
+// all connections are in use: it gets neither an answer nor a refusal.
+func TestCallerBeyondLimitIsRefused(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	block := func(w net.Conn, r *http.Request) bool {
+		<-release
+		return reply("200 OK", stamp, "yes")(w, r)
+	}
+	const most, beyond = 10, 11 // a tenth more than allowed
+	g, address := newTrackedGateway(t, block)
+	conns := g.handler.Conns()
+	conns.mu.Lock()
+	conns.maxOpen = most
+	conns.mu.Unlock()
+	g.scheduler.view.Table.Route("a", "/book/").TimeoutMillis = 60_000
+	const request = "POST /book/ HTTP/1.1\r\nHost: a\r\n\r\n"
+	for i := range beyond {
+		dialRaw(t, address, request)
+		for end := time.Now().Add(10 * time.Second); conns.Busy() <= i && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	for range 3 {
+		is.Equal(conns.Busy(), beyond)
+		caller := dialRaw(t, address, "")
+		started := time.Now()
+		_, err := io.WriteString(caller, request) // may cross the close
+		if err != nil {
+			continue
+		}
+		_ = caller.SetReadDeadline(started.Add(10 * time.Second))
+		_, err = io.Copy(io.Discard, caller)
+		is.True(err == nil || !strings.Contains(err.Error(), "timeout")) // it was closed
+		is.True(time.Since(started) < time.Second)
+		for conns.descriptors.Load() > beyond && time.Since(started) < time.Second {
+			time.Sleep(time.Millisecond) // its close follows the end of its output
+		}
+		is.True(conns.descriptors.Load() <= beyond)
+	}
+}
+
+// TestWaitingRequestBeyondLimitIsRefused guards against the close of a new connection beyond the limit
+// without an answer to the request that has arrived on it.
+func TestWaitingRequestBeyondLimitIsRefused(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	conns := NewConns(1, noLimit, noLimit)
+	conns.descriptors.Store(2)
+	caller := dialRaw(t, listener.Addr().String(), "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	time.Sleep(20 * time.Millisecond) // lets the request arrive
+	go func() {
+		_, _ = conns.Listener(listener).Accept() // until the listener is closed
+	}()
+	defer listener.Close()
+	is.Equal(readStatus(t, caller), http.StatusServiceUnavailable)
+	is.Equal(conns.descriptors.Load(), int64(2))
+}
+
+// TestGivenUpConnectionFreesDescriptor guards against descriptors that are held after connections
+// were given up: the limit then keeps callers out, or is passed.
+func TestGivenUpConnectionFreesDescriptor(t *testing.T) {
+	is := is.New(t)
+	g, address := newTrackedGateway(t, reply("200 OK", stamp, "yes"))
+	conns := g.handler.Conns()
+	conns.mu.Lock()
+	conns.maxOpen = 20
+	conns.mu.Unlock()
+	for range 200 {
+		caller := dialRaw(t, address, "GET /look/ HTTP/1.1\r\nHost: a\r\n\r\n")
+		is.Equal(readStatus(t, caller), http.StatusOK)
+		is.True(conns.descriptors.Load() <= 22)
+	}
+}
--- a/gateway/internal/serve/taken_test.go
+++ b/gateway/internal/serve/taken_test.go
@@ -69,7 +69,7 @@
 			close: func(conns *Conns) {
 				conns.mu.Lock()
 				defer conns.mu.Unlock()
-				conns.makeRoom(nil)
+				conns.makeRoom()
 			},
 		},
 	} {
@@ -113,7 +113,7 @@
 		"too many connections": func(conns *Conns) {
 			conns.mu.Lock()
 			defer conns.mu.Unlock()
-			conns.makeRoom(nil)
+			conns.makeRoom()
 		},
 		"late head": func(conns *Conns) {
 			conns.prune(time.Now().Add(time.Minute))
--- a/gateway/internal/serve/tracked_conn.go
+++ b/gateway/internal/serve/tracked_conn.go
@@ -58,6 +58,7 @@
 	bodySince  atomic.Int64
 	writeSince atomic.Int64
 	refused    atomic.Bool
+	closed     atomic.Bool
 	kept       atomic.Bool // a request was answered on it
 	// decision is set once the gateway has decided to close the connection.
 	decision atomic.Pointer[closeDecision]
@@ -83,6 +84,17 @@
 	Err: net.ErrClosed,
 }
 
+// newTrackedConn returns the trackedConn of a connection that was accepted.
+func newTrackedConn(c net.Conn, conns *Conns) *trackedConn {
+	t := &trackedConn{
+		Conn:  c,
+		conns: conns,
+		peer:  connlimit.Peer(c),
+	}
+	t.idleSince.Store(time.Now().UnixNano())
+	return t
+}
+
 // Read implements net.Conn. It returns nothing once the gateway closes the connection.
 func (t *trackedConn) Read(p []byte) (int, error) {
 	if t.state.Load() >= connIdle {
@@ -243,10 +255,9 @@
 	return t.state.CompareAndSwap(since, connClosing)
 }
 
-// end closes a connection that endIdle or endHead has ended, or whose request is given up. The server
-// then reports StateClosed. CloseWrite tells the caller at once; if a request, or a part of one, has
-// arrived, it is refused first. Close may wait for the reading goroutine, so another goroutine calls
-// it, which may start late on a busy host.
+// end records the decision to close a connection that endIdle or endHead has ended, or whose request is
+// given up. The caller sees the close at once; if a request, or a part of one, has arrived, it is refused
+// first. Close may wait for the reading goroutine, and frees the descriptor.
 func (t *trackedConn) end(cause string, phase connlimit.Phase) {
 	t.decision.Store(&closeDecision{
 		cause: cause,
@@ -257,47 +268,21 @@
 		t.sendNow(t.conns.refusal(cause))
 	}
 	_ = t.CloseWrite() // fails only if the connection has ended already
-	go func(c net.Conn) { c.Close() }(t)
 }
 
 // Close implements net.Conn.
 func (t *trackedConn) Close() error {
+	if !t.closed.CompareAndSwap(false, true) {
+		return nil
+	}
 	if t.state.Load() == connClosing {
 		t.drain()
 	}
-	return t.Conn.Close()
-}
-
-// trackingListener accepts connections as *trackedConn.
-type trackingListener struct {
-	net.Listener
-	conns *Conns
-}
-
-// Accept implements net.Listener. It first waits for the end of connections that are given up, since
-// they have descriptors until then.
-func (l trackingListener) Accept() (net.Conn, error) {
-	l.conns.awaitRoom()
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	t := &trackedConn{
-		Conn:  c,
-		conns: l.conns,
-		peer:  connlimit.Peer(c),
-	}
-	t.idleSince.Store(time.Now().UnixNano())
-	return t, nil
-}
-
-// Listener returns a listener that accepts from l the connections of a server whose
-// ConnState and ConnContext are those of c.
-func (c *Conns) Listener(l net.Listener) net.Listener {
-	return trackingListener{
-		Listener: l,
-		conns:    c,
+	err := t.Conn.Close()
+	if t.conns != nil {
+		t.conns.descriptors.Add(-1)
 	}
+	return err
 }
 
 // connKey is the context key of the connection of a request.
