--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -14,6 +14,7 @@
 
 	"baobabpaddle/fleet/credential"
 	"baobabpaddle/fleet/program"
+	"baobabpaddle/gateway/internal/serve"
 )
 
 // TestDrainAnswersRequestBeingRead finishes a drain while the head of a request has arrived in
@@ -56,3 +57,33 @@
 	is.Equal(response.StatusCode, http.StatusServiceUnavailable) // there is no configuration
 	<-done
 }
+
+// TestDrainRefusesBacklog guards against requests whose connections wait to be accepted at the end of a
+// drain and are reset.
+func TestDrainRefusesBacklog(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	var callers []net.Conn
+	for range 3 {
+		c, err := net.Dial("tcp", listener.Addr().String())
+		is.NoErr(err)
+		defer c.Close()
+		_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab")
+		is.NoErr(err)
+		callers = append(callers, c)
+	}
+	time.Sleep(50 * time.Millisecond) // lets the requests arrive
+	noLimit := func() time.Duration { return 0 }
+	conns := serve.NewConns(10, noLimit, noLimit)
+	is.Equal(finish(listener, &http.Server{}, conns, time.Now().Add(time.Second)), 0)
+	for _, c := range callers {
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+		response.Body.Close()
+	}
+	_, err = net.Dial("tcp", listener.Addr().String())
+	is.True(err != nil)
+}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -11,13 +11,13 @@
 // drainPollInterval is how often a draining gateway checks whether requests are in flight.
 const drainPollInterval = 50 * time.Millisecond
 
-// finish stops a server whose connections are those of conns. It accepts no more connections,
-// closes idle ones, and closes the others once all requests are answered, including those whose
-// heads are still being read, or at the deadline; the zero time means none. It returns the number of
-// connections whose requests it cut off. http.Server.Shutdown is not used, since it drops requests
-// that are read after it was called.
+// finish stops a server whose connections are those of conns. It accepts no more connections, refuses
+// the requests of those that wait to be accepted, closes idle ones, and closes the others once all
+// requests are answered, including those whose heads are still being read, or at the deadline; the zero
+// time means none. It returns the number of connections whose requests it cut off.
+// http.Server.Shutdown is not used, since it drops requests that are read after it was called.
 func finish(listener net.Listener, server *http.Server, conns *serve.Conns, deadline time.Time) int {
-	listener.Close()
+	_ = conns.CloseListener(listener) // fails only if it is closed
 	conns.CloseIdle()
 	for conns.Busy() > 0 && (deadline.IsZero() || time.Now().Before(deadline)) {
 		time.Sleep(drainPollInterval)
--- a/gateway/internal/serve/conn_bound.go
+++ b/gateway/internal/serve/conn_bound.go
@@ -47,13 +47,18 @@
 	if !beyond {
 		return true
 	}
-	t.state.Store(connClosing)
-	t.end(connlimit.CauseConns, connlimit.Idle)
-	closeConn(t)
+	t.refuseNew(connlimit.CauseConns)
 	c.closed(t.peer, connlimit.CauseConns)
 	return false
 }
 
+// refuseNew refuses what has arrived on a connection that nobody reads from yet, and closes it.
+func (t *trackedConn) refuseNew(cause string) {
+	t.state.Store(connClosing)
+	t.end(cause, connlimit.Idle)
+	closeConn(t)
+}
+
 // end ends a connection and has unlock close it; mu must be held. The server then reports StateClosed.
 func (c *Conns) end(t *trackedConn, cause string, phase connlimit.Phase) {
 	t.end(cause, phase)
@@ -90,31 +95,3 @@
 
 // closeConn closes a connection. It may have been closed by its peer.
 func closeConn(c net.Conn) { c.Close() }
-
-// trackingListener accepts connections as *trackedConn.
-type trackingListener struct {
-	net.Listener
-	conns *Conns
-}
-
-// Accept implements net.Listener. Connections beyond the bound on descriptors are refused at once.
-func (l trackingListener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if t := newTrackedConn(c, l.conns); l.conns.admit(t) {
-			return t, nil
-		}
-	}
-}
-
-// Listener returns a listener that accepts from l the connections of a server whose
-// ConnState and ConnContext are those of c.
-func (c *Conns) Listener(l net.Listener) net.Listener {
-	return trackingListener{
-		Listener: l,
-		conns:    c,
-	}
-}
--- /dev/null
+++ b/gateway/internal/serve/listener.go
@@ -0,0 +1,74 @@
+package serve
+
+import (
+	"net"
+	"os"
+	"syscall"
+)
+
+// trackingListener accepts connections as *trackedConn.
+type trackingListener struct {
+	net.Listener
+	conns *Conns
+}
+
+// Accept implements net.Listener. Connections beyond the bound on descriptors are refused at once.
+func (l trackingListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if t := newTrackedConn(c, l.conns); l.conns.admit(t) {
+			return t, nil
+		}
+	}
+}
+
+// Listener returns a listener that accepts from l the connections of a server whose
+// ConnState and ConnContext are those of c.
+func (c *Conns) Listener(l net.Listener) net.Listener {
+	return trackingListener{
+		Listener: l,
+		conns:    c,
+	}
+}
+
+// CloseListener closes a listener after it has refused the requests that wait in the backlog, whose
+// connections the system would reset. The backlog of a listener without a socket is not known.
+func (c *Conns) CloseListener(l net.Listener) error {
+	if t, ok := l.(trackingListener); ok {
+		l = t.Listener
+	}
+	if socket, ok := l.(syscall.Conn); ok {
+		for conn := acceptNow(socket); conn != nil; conn = acceptNow(socket) {
+			c.descriptors.Add(1)
+			newTrackedConn(conn, c).refuseNew(causeDrain)
+		}
+	}
+	return l.Close()
+}
+
+// acceptNow accepts a connection without waiting. It returns nil if there is none.
+func acceptNow(listener syscall.Conn) net.Conn {
+	access, err := listener.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	var accepted *os.File
+	// An error here means that the listener is closed.
+	_ = access.Control(func(fd uintptr) {
+		if n, _, err := syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC); err == nil {
+			accepted = os.NewFile(uintptr(n), "accepted")
+		}
+	})
+	if accepted == nil {
+		return nil
+	}
+	defer accepted.Close()
+	conn, err := net.FileConn(accepted)
+	if err != nil {
+		return nil
+	}
+	return conn
+}
