--- a/gateway/internal/serve/closing_test.go
+++ b/gateway/internal/serve/closing_test.go
@@ -266,7 +266,7 @@
 			name: "too many connections",
 			close: func(conns *Conns, _ *trackedConn) {
 				conns.mu.Lock()
-				defer conns.mu.Unlock()
+				defer conns.unlock()
 				conns.makeRoom()
 			},
 		},
--- a/gateway/internal/serve/conn_bound.go
+++ b/gateway/internal/serve/conn_bound.go
@@ -55,18 +55,26 @@
 // refuseNew refuses what has arrived on a connection that nobody reads from yet, and closes it.
 func (t *trackedConn) refuseNew(cause string) {
 	t.state.Store(connClosing)
-	t.end(cause, connlimit.Idle)
+	t.decide(cause, connlimit.Idle)
+	t.end()
 	closeConn(t)
 }
 
-// end ends a connection and has unlock close it; mu must be held. The server then reports StateClosed.
+// end decides to end a connection, and has unlock do it; mu must be held. The server then reports
+// StateClosed.
 func (c *Conns) end(t *trackedConn, cause string, phase connlimit.Phase) {
-	t.end(cause, phase)
+	t.decide(cause, phase)
 	c.ending = append(c.ending, t)
 }
 
-// unlock releases mu and closes the connections that were ended meanwhile. Close waits until a read of
-// the connection has returned, so goroutines call it.
+// awaitDecision waits until a decision that is being made is recorded.
+func (c *Conns) awaitDecision() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+}
+
+// unlock releases mu, and ends and closes the connections that end was called for. Close waits until a
+// read of the connection has returned, so goroutines call it.
 func (c *Conns) unlock() {
 	for _, t := range c.takeEnding() {
 		go closeConn(t)
@@ -85,11 +93,14 @@
 	}
 }
 
-// takeEnding releases mu and returns the connections that were ended meanwhile.
+// takeEnding releases mu, and ends and returns the connections that end was called for.
 func (c *Conns) takeEnding() []*trackedConn {
-	defer c.mu.Unlock()
 	ending := c.ending
 	c.ending = nil
+	c.mu.Unlock()
+	for _, t := range ending {
+		t.end()
+	}
 	return ending
 }
 
--- a/gateway/internal/serve/conn_refusal.go
+++ b/gateway/internal/serve/conn_refusal.go
@@ -10,6 +10,17 @@
 	"baobabpaddle/fleet/problem"
 )
 
+// defaultRetryAfter is the Retry-After of refusals in seconds if nothing else is set.
+const defaultRetryAfter = "1"
+
+// setRefusals sets the answers to requests whose connections are closed.
+func (c *Conns) setRefusals(retryAfter string) {
+	c.refusals = make(map[string][]byte)
+	for _, cause := range []string{causeIdle, causeLateHead, causeDrain, connlimit.CauseConns, connlimit.CauseMemory} {
+		c.refusals[cause] = newConnRefusal(cause, retryAfter)
+	}
+}
+
 // newConnRefusal returns the answer to a request, or a part of one, on a connection that the gateway
 // closes for the cause. Its Retry-After has the given value, unless the request was late.
 func newConnRefusal(cause, retryAfter string) []byte {
--- a/gateway/internal/serve/conns.go
+++ b/gateway/internal/serve/conns.go
@@ -41,15 +41,17 @@
 	// dropped is called when a request, or a part of one, is dropped, since its connection is being
 	// closed.
 	dropped func(peer netip.Addr, d closeDecision)
-	// refusal returns the answer to a request whose connection is closed for the cause.
-	refusal func(cause string) []byte
+	// refusals are the answers to requests whose connections are closed, by cause, and refused is
+	// called for each that is sent.
+	refusals map[string][]byte
+	refused  func(cause string)
 	// reserve reserves memory for a head that arrives on a connection, and release returns it.
 	reserve func(t *trackedConn, n int64) bool
 	release func(t *trackedConn, n int64)
 	// toGiveUp are connections that may be given up, the first to go first, as of orderedAt.
 	toGiveUp  []ordered
 	orderedAt time.Time
-	// ending are connections that were ended under mu and have to be closed.
+	// ending are connections that unlock ends.
 	ending []*trackedConn
 	// descriptors is the number of connections of Listener that are not closed.
 	descriptors atomic.Int64
@@ -74,17 +76,19 @@
 // IdleTimeout returns the time that a connection may be idle; zero means one minute.
 // HeadTimeout returns the time that the head of a request may take; zero means no limit.
 func NewConns(maxOpen int, idleTimeout, headTimeout func() time.Duration) *Conns {
-	return &Conns{
+	c := &Conns{
 		maxOpen:     maxOpen,
 		idleTimeout: idleTimeout,
 		headTimeout: headTimeout,
 		open:        make(map[net.Conn]*list.Element),
 		closed:      func(netip.Addr, string) {},
 		dropped:     func(netip.Addr, closeDecision) {},
-		refusal:     func(cause string) []byte { return newConnRefusal(cause, "1") },
+		refused:     func(string) {},
 		reserve:     func(*trackedConn, int64) bool { return true },
 		release:     func(*trackedConn, int64) {},
 	}
+	c.setRefusals(defaultRetryAfter)
+	return c
 }
 
 // ConnState records a change of a connection's state. It is meant for
--- a/gateway/internal/serve/give_up_test.go
+++ b/gateway/internal/serve/give_up_test.go
@@ -35,7 +35,7 @@
 func giveUpBody(g *testGateway, conn *trackedConn) bool {
 	conns := g.handler.Conns()
 	conns.mu.Lock()
-	defer conns.mu.Unlock()
+	defer conns.unlock()
 	return conns.giveUp(conn, connlimit.ReadingBody, connlimit.CauseMemory)
 }
 
@@ -73,6 +73,23 @@
 	is.Equal(g.requestCount(), 0)
 }
 
+// TestRefusalPrecedesClose guards against a request that gets no answer, since the server closes its
+// connection before the goroutine that has given it up sends the refusal.
+func TestRefusalPrecedesClose(t *testing.T) {
+	is := is.New(t)
+	g, address := newTrackedGateway(t, reply("200 OK", stamp, "yes"))
+	caller := dialRaw(t, address, "POST /book/ HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n12345")
+	conn := onlyConn(t, g)
+	conns := g.handler.Conns()
+	conns.mu.Lock()
+	is.True(conns.giveUp(conn, connlimit.ReadingBody, connlimit.CauseMemory))
+	_, err := io.WriteString(caller, "67890")
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond) // the handler reads the rest, and the server closes the connection
+	conns.unlock()
+	is.Equal(readStatus(t, caller), http.StatusServiceUnavailable)
+}
+
 // TestRefusalIsNotCut guards against a refusal that its caller doesn't get: the connection was given up
 // while the rest of the body of the refused request arrived.
 func TestRefusalIsNotCut(t *testing.T) {
@@ -103,9 +120,10 @@
 	conns.mu.Unlock()
 	g.scheduler.view.Table.Route("a", "/book/").TimeoutMillis = 60_000
 	const request = "POST /book/ HTTP/1.1\r\nHost: a\r\n\r\n"
-	for i := range beyond {
-		dialRaw(t, address, request)
-		for end := time.Now().Add(10 * time.Second); conns.Busy() <= i && time.Now().Before(end); {
+	for tries := 0; conns.Busy() < beyond && tries < 100; tries++ {
+		busy := conns.Busy()
+		dialRaw(t, address, request) // the last may be closed before its request arrives
+		for end := time.Now().Add(100 * time.Millisecond); conns.Busy() == busy && time.Now().Before(end); {
 			time.Sleep(time.Millisecond)
 		}
 	}
--- a/gateway/internal/serve/held.go
+++ b/gateway/internal/serve/held.go
@@ -50,10 +50,8 @@
 	h.conns.closed = program.ReportClosed("callers", metrics, h.log)
 	h.conns.dropped = reportDropped(metrics, h.log)
 	h.conns.reserve, h.conns.release = h.reserve, h.release
-	h.conns.refusal = func(cause string) []byte {
-		h.counters.countRefusal("connection_" + cause)
-		return newConnRefusal(cause, h.protocol.RetryAfter(shedRetryAfter))
-	}
+	h.conns.setRefusals(h.protocol.RetryAfter(shedRetryAfter))
+	h.conns.refused = func(cause string) { h.counters.countRefusal("connection_" + cause) }
 }
 
 // Bounds of the pause between two lines about dropped bytes.
@@ -99,8 +97,12 @@
 	x.handler.release(x.held.conn, n)
 }
 
-// releaseAll returns all bytes reserved for the request.
-func (x *exchange) releaseAll() { x.release(x.held.bytes) }
+// releaseAll returns all bytes reserved for the request, and lets go of its body: after a panic the
+// exchange is referenced until the connection has ended.
+func (x *exchange) releaseAll() {
+	x.body = nil
+	x.release(x.held.bytes)
+}
 
 // reserve reserves n bytes for a connection, which may be nil. If there is no room it gives up
 // connections that hold more. It reports false if there is none.
--- a/gateway/internal/serve/taken_test.go
+++ b/gateway/internal/serve/taken_test.go
@@ -68,7 +68,7 @@
 			name: "too many connections",
 			close: func(conns *Conns) {
 				conns.mu.Lock()
-				defer conns.mu.Unlock()
+				defer conns.unlock()
 				conns.makeRoom()
 			},
 		},
@@ -112,7 +112,7 @@
 	for name, end := range map[string]func(conns *Conns){
 		"too many connections": func(conns *Conns) {
 			conns.mu.Lock()
-			defer conns.mu.Unlock()
+			defer conns.unlock()
 			conns.makeRoom()
 		},
 		"late head": func(conns *Conns) {
@@ -183,7 +183,8 @@
 				}
 			}
 			conn.state.Store(connClosing) // decided before the request arrived
-			conn.end(c.cause, c.phase)
+			conn.decide(c.cause, c.phase)
+			conn.end()
 			is.Equal(readStatus(t, caller), c.status)
 		})
 	}
--- a/gateway/internal/serve/tracked_conn.go
+++ b/gateway/internal/serve/tracked_conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -60,8 +61,10 @@
 	refused    atomic.Bool
 	closed     atomic.Bool
 	kept       atomic.Bool // a request was answered on it
-	// decision is set once the gateway has decided to close the connection.
+	// decision is set once the gateway has decided to close the connection, and ending is done
+	// once that is carried out.
 	decision atomic.Pointer[closeDecision]
+	ending   sync.Once
 	// head is the head that arrives, and headBytes the memory reserved for it. The server reads
 	// with one goroutine at a time.
 	head      connlimit.HeadCost
@@ -156,7 +159,8 @@
 	}
 	if !t.conns.reserve(t, more) {
 		if since := t.headSince(); since > 0 && t.endHead(since) {
-			t.end(connlimit.CauseMemory, connlimit.ReadingHead)
+			t.decide(connlimit.CauseMemory, connlimit.ReadingHead)
+			t.end()
 		}
 		t.conns.closed(t.peer, connlimit.CauseMemory)
 		return false
@@ -255,34 +259,58 @@
 	return t.state.CompareAndSwap(since, connClosing)
 }
 
-// end records the decision to close a connection that endIdle or endHead has ended, or whose request is
-// given up. The caller sees the close at once; if a request, or a part of one, has arrived, it is refused
-// first. Close may wait for the reading goroutine, and frees the descriptor.
-func (t *trackedConn) end(cause string, phase connlimit.Phase) {
+// decide records the decision to close a connection that endIdle or endHead has ended, or whose request
+// is given up.
+func (t *trackedConn) decide(cause string, phase connlimit.Phase) {
 	t.decision.Store(&closeDecision{
 		cause: cause,
 		phase: phase,
 		at:    time.Now(),
 	})
-	if unread, _ := t.peek(); t.conns != nil && (phase == connlimit.ReadingHead || phase == connlimit.ReadingBody || phase == connlimit.Idle && unread) {
-		t.sendNow(t.conns.refusal(cause))
+}
+
+// end carries the decision out, without waiting for the caller. It sees the close at once; if a request,
+// or a part of one, has arrived, it is refused first. Close may wait for the reading goroutine, and frees
+// the descriptor.
+func (t *trackedConn) end() {
+	t.ending.Do(func() {
+		d := t.decision.Load()
+		if t.refusable(d.phase) {
+			t.sendNow(t.conns.refusals[d.cause])
+			t.conns.refused(d.cause)
+		}
+		_ = t.CloseWrite() // fails only if the connection has ended already
+	})
+}
+
+// refusable reports whether a connection in a phase holds a request, or a part of one, that nothing
+// was answered to.
+func (t *trackedConn) refusable(phase connlimit.Phase) bool {
+	switch {
+	case t.conns == nil:
+		return false
+	case phase == connlimit.Idle:
+		unread, _ := t.peek()
+		return unread
 	}
-	_ = t.CloseWrite() // fails only if the connection has ended already
+	return phase == connlimit.ReadingHead || phase == connlimit.ReadingBody
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. If the gateway has decided to close the connection, that is carried out
+// first: the server may call Close before the goroutine that has decided goes on.
 func (t *trackedConn) Close() error {
 	if !t.closed.CompareAndSwap(false, true) {
 		return nil
 	}
-	if t.state.Load() == connClosing {
-		t.drain()
-	}
-	err := t.Conn.Close()
 	if t.conns != nil {
-		t.conns.descriptors.Add(-1)
+		t.conns.awaitDecision()
+		defer t.conns.descriptors.Add(-1)
+	}
+	if t.decision.Load() != nil {
+		t.end()
+		t.drain()
 	}
-	return err
+	return t.Conn.Close()
 }
 
 // connKey is the context key of the connection of a request.
