--- a/gateway/internal/serve/closing_test.go
+++ b/gateway/internal/serve/closing_test.go
@@ -267,7 +267,7 @@
 			close: func(conns *Conns, _ *trackedConn) {
 				conns.mu.Lock()
 				defer conns.unlock()
-				conns.makeRoom()
+				conns.makeRoom(nil)
 			},
 		},
 		{
--- a/gateway/internal/serve/conn_bound.go
+++ b/gateway/internal/serve/conn_bound.go
@@ -17,9 +17,9 @@
 	return float64(c.descriptors.Load()) > math.Ceil((1+overLimitFraction)*float64(c.maxOpen))
 }
 
-// makeRoom gives up one connection for a new one; mu must be held.
-func (c *Conns) makeRoom() {
-	if c.giveUpOne() {
+// makeRoom gives up one connection for a new one, added, which may not be open yet; mu must be held.
+func (c *Conns) makeRoom(added net.Conn) {
+	if c.giveUpOne(added) {
 		return
 	}
 	for e := c.idleConns.Front(); e != nil; e = e.Next() { // those that are not of Listener
@@ -36,7 +36,7 @@
 	c.mu.Lock()
 	beyond := c.beyondBound()
 	if beyond {
-		c.makeRoom()
+		c.makeRoom(t)
 	}
 	c.unlockForNew()
 	if beyond {
--- a/gateway/internal/serve/conns.go
+++ b/gateway/internal/serve/conns.go
@@ -122,7 +122,7 @@
 		}
 	}
 	if state == http.StateNew && len(c.open) > c.maxOpen {
-		c.makeRoom()
+		c.makeRoom(conn)
 	}
 	if state == http.StateNew && c.closing {
 		c.closeIfIdle(conn, causeDrain)
--- a/gateway/internal/serve/give_up.go
+++ b/gateway/internal/serve/give_up.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"net"
 	"time"
 
 	"baobabpaddle/fleet/connlimit"
@@ -107,8 +108,9 @@
 	phase connlimit.Phase
 }
 
-// giveUpOne gives up one connection, and reports whether there was one; mu must be held.
-func (c *Conns) giveUpOne() bool {
+// giveUpOne gives up one connection other than a new one, on which a request may be about to arrive,
+// and reports whether there was one; mu must be held.
+func (c *Conns) giveUpOne(added net.Conn) bool {
 	now := time.Now()
 	if len(c.open) <= cheapOrder || now.Sub(c.orderedAt) > orderLifetime {
 		c.order(now)
@@ -116,7 +118,7 @@
 	for len(c.toGiveUp) > 0 {
 		next := c.toGiveUp[0]
 		c.toGiveUp = c.toGiveUp[1:]
-		if _, open := c.open[next.conn]; !open {
+		if _, open := c.open[next.conn]; !open || next.conn == added {
 			continue
 		}
 		if phase, _ := next.conn.phase(now); phase == next.phase && c.giveUp(next.conn, phase, connlimit.CauseConns) {
--- a/gateway/internal/serve/give_up_test.go
+++ b/gateway/internal/serve/give_up_test.go
@@ -40,7 +40,7 @@
 }
 
 // TestWholeBodyIsNotGivenUp guards against a request that is cut after it was passed on: its body was
-// being read when its connection was chosen, and was read when it was closed.
+// being read when the order of connections was made, and was read when its turn came.
 func TestWholeBodyIsNotGivenUp(t *testing.T) {
 	is := is.New(t)
 	var g *testGateway
@@ -146,6 +146,37 @@
 	}
 }
 
+// TestNewConnectionIsNotGivenUpForItself guards against a caller whose new connection is closed before
+// its request arrives, while all others are in use and the bound has room.
+func TestNewConnectionIsNotGivenUpForItself(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	block := func(w net.Conn, r *http.Request) bool {
+		<-release
+		return reply("200 OK", stamp, "yes")(w, r)
+	}
+	const most = 10
+	g, address := newTrackedGateway(t, block)
+	conns := g.handler.Conns()
+	conns.mu.Lock()
+	conns.maxOpen = most
+	conns.mu.Unlock()
+	g.scheduler.view.Table.Route("a", "/book/").TimeoutMillis = 60_000
+	const request = "POST /book/ HTTP/1.1\r\nHost: a\r\n\r\n"
+	for i := range most {
+		dialRaw(t, address, request)
+		for end := time.Now().Add(10 * time.Second); conns.Busy() <= i && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	caller := dialRaw(t, address, "")
+	time.Sleep(50 * time.Millisecond)
+	_, err := io.WriteString(caller, request)
+	is.NoErr(err)
+	close(release)
+	is.Equal(readStatus(t, caller), http.StatusOK)
+}
+
 // TestWaitingRequestBeyondLimitIsRefused guards against the close of a new connection beyond the limit
 // without an answer to the request that has arrived on it.
 func TestWaitingRequestBeyondLimitIsRefused(t *testing.T) {
--- a/gateway/internal/serve/listener.go
+++ b/gateway/internal/serve/listener.go
@@ -49,7 +49,7 @@
 	return l.Close()
 }
 
-// acceptNow accepts a connection without waiting. It returns nil if there is none.
+// acceptNow accepts a connection without waiting. It returns nil if the backlog is empty.
 func acceptNow(listener syscall.Conn) net.Conn {
 	access, err := listener.SyscallConn()
 	if err != nil {
--- a/gateway/internal/serve/taken_test.go
+++ b/gateway/internal/serve/taken_test.go
@@ -69,7 +69,7 @@
 			close: func(conns *Conns) {
 				conns.mu.Lock()
 				defer conns.unlock()
-				conns.makeRoom()
+				conns.makeRoom(nil)
 			},
 		},
 	} {
@@ -113,7 +113,7 @@
 		"too many connections": func(conns *Conns) {
 			conns.mu.Lock()
 			defer conns.unlock()
-			conns.makeRoom()
+			conns.makeRoom(nil)
 		},
 		"late head": func(conns *Conns) {
 			conns.prune(time.Now().Add(time.Minute))
--- a/gateway/internal/serve/tracked_conn.go
+++ b/gateway/internal/serve/tracked_conn.go
@@ -218,10 +218,11 @@
 	}
 }
 
-// responseDone records that the request was answered.
+// responseDone records that the request was answered; Conns.mu must be held.
 func (t *trackedConn) responseDone() {
 	t.bodySince.Store(0)
 	t.refused.Store(false)
+	t.givenUp = false // its refusal was sent, and it is used on
 	t.writeSince.Store(0)
 	t.idleSince.Store(time.Now().UnixNano())
 	t.kept.Store(true)
