--- a/fleet/tcp/conn.go
+++ b/fleet/tcp/conn.go
@@ -98,6 +98,16 @@
 	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
 }
 
+// CloseWrite ends the data to the peer. The error wraps errors.ErrUnsupported if the connection can't be
+// closed in one direction.
+func (c *Conn) CloseWrite() error {
+	k, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return merry.Prependf(errors.ErrUnsupported, "connection %T", c.Conn)
+	}
+	return k.CloseWrite()
+}
+
 // SyscallConn implements syscall.Conn. The error wraps errors.ErrUnsupported if the connection
 // has no socket.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
--- a/gateway/internal/serve/caller_left_test.go
+++ b/gateway/internal/serve/caller_left_test.go
@@ -269,3 +269,53 @@
 		})
 	}
 }
+
+// TestCallerLeavesDuringRun guards against requests that upstreams work on long after their callers have
+// left: the gateway has not read the end of the connection.
+func TestCallerLeavesDuringRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		path string
+		// answer is what the upstream sends at once.
+		answer string
+	}{
+		"request":       {"/look/", ""},
+		"once only":     {"/book/", ""},
+		"stream":        {"/chat/", ""},
+		"begun stream":  {"/chat/", event1},
+		"begun draft":   {"/draft/", event1},
+		"begun request": {"/look/", "part"},
+	} {
+		for way, leave := range map[string]func(c *net.TCPConn){
+			"closes":      func(c *net.TCPConn) { _ = c.Close() },
+			"half-closes": func(c *net.TCPConn) { _ = c.CloseWrite() },
+			"resets":      func(c *net.TCPConn) { reset(c) },
+		} {
+			t.Run(name+" "+way, func(t *testing.T) {
+				is := is.New(t)
+				began, left := make(chan struct{}), make(chan struct{})
+				g := newLateGateway(t, func(*lateGateway, int64) {}, func(w net.Conn, r *http.Request) bool {
+					if c.answer != "" {
+						eventStream(c.answer, false)(w, r)
+					}
+					close(began)
+					_, _ = io.ReadAll(w) // any end will do
+					close(left)
+					return false
+				})
+				go g.handler.Conns().Run(t.Context())
+				_, err := io.WriteString(g.caller, rawRequest(c.path, "id-1"))
+				is.NoErr(err)
+				<-began
+				time.Sleep(propagationDelay)
+				leave(g.caller)
+				select {
+				case <-left:
+				case <-time.After(leftNotice):
+					t.Fatal("the upstream still works")
+				}
+				<-g.ended
+				is.Equal(g.scheduler.ended, []dispatch.Outcome{dispatch.CallerLeft})
+			})
+		}
+	}
+}
--- /dev/null
+++ b/gateway/internal/serve/callers.go
@@ -0,0 +1,115 @@
+package serve
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// callerScanInterval is the interval between scans for callers that have left while their requests run.
+const callerScanInterval = 100 * time.Millisecond
+
+// callers are the requests that run. A scan looks at the sockets of their callers: in a process that is
+// short of processor time the goroutine of a timer runs long before one that waits for a socket. The
+// zero value has no requests. Its methods are safe for concurrent use.
+type callers struct {
+	mu       sync.Mutex
+	requests map[*runningRequest]struct{}
+}
+
+// runningRequest is a request whose caller may leave.
+type runningRequest struct {
+	conn   *trackedConn
+	cancel context.CancelFunc
+
+	mu   sync.Mutex
+	left bool
+	// abort ends the exchange with an upstream; nil while there is none.
+	abort func()
+}
+
+// add returns a request with context ctx, and the context of its run, which ends when a scan finds that
+// the caller has left. Remove must be called.
+func (c *callers) add(ctx context.Context) (context.Context, *runningRequest) {
+	ctx, cancel := context.WithCancel(ctx)
+	r := &runningRequest{
+		cancel: cancel,
+	}
+	t, ok := ctx.Value(connKey{}).(*trackedConn)
+	if !ok {
+		return ctx, r
+	}
+	r.conn = t
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.requests == nil {
+		c.requests = make(map[*runningRequest]struct{})
+	}
+	c.requests[r] = struct{}{}
+	return ctx, r
+}
+
+// remove ends the context of a request that was added.
+func (c *callers) remove(r *runningRequest) {
+	r.cancel()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.requests, r)
+}
+
+// run scans until ctx ends.
+func (c *callers) run(ctx context.Context) {
+	ticker := time.NewTicker(callerScanInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.scan()
+		}
+	}
+}
+
+// scan ends the requests whose callers have left.
+func (c *callers) scan() {
+	c.mu.Lock()
+	requests := make([]*runningRequest, 0, len(c.requests))
+	for r := range c.requests {
+		requests = append(requests, r)
+	}
+	c.mu.Unlock()
+	for _, r := range requests {
+		if r.conn.closedByCaller() {
+			r.callerLeft()
+		}
+	}
+}
+
+// callerLeft ends the request.
+func (r *runningRequest) callerLeft() {
+	r.cancel() // before abort, whose error is then that of a caller that has left
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.left = true
+	if r.abort != nil {
+		r.abort()
+		r.abort = nil
+	}
+}
+
+// watch implements upstream.Request.Watch.
+func (r *runningRequest) watch(abort func()) (stop func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.left {
+		abort()
+		return func() {}
+	}
+	r.abort = abort
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.abort = nil
+	}
+}
--- a/gateway/internal/serve/conns.go
+++ b/gateway/internal/serve/conns.go
@@ -55,6 +55,8 @@
 	descriptors atomic.Int64
 	// closing is true after CloseIdle: connections that nothing arrives on are closed.
 	closing bool
+	// callers are those whose requests run.
+	callers callers
 }
 
 // Causes for which a connection is closed, beside those of package connlimit.
@@ -188,8 +190,10 @@
 	return len(c.open)
 }
 
-// Run closes connections that are idle or read a head for too long, until ctx ends.
+// Run closes connections that are idle or read a head for too long, and ends requests whose callers
+// have left, until ctx ends.
 func (c *Conns) Run(ctx context.Context) {
+	go c.callers.run(ctx)
 	ticker := time.NewTicker(connScanInterval)
 	defer ticker.Stop()
 	for {
--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -268,6 +268,7 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	arrived time.Time
+	running *runningRequest // from the first placement
 
 	route   *configuration.Route
 	service string // chosen by the weights of the route
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -55,6 +55,9 @@
 		h.counters.registerRetriesLeft(x.service, h)
 	}
 	attempts := max(x.route.MaxUpstreams, 1)
+	ctx, running := h.conns.callers.add(x.r.Context())
+	defer h.conns.callers.remove(running)
+	x.r, x.running = x.r.WithContext(ctx), running
 	defer x.releaseNext()
 	var result outcome
 	for {
@@ -349,6 +352,7 @@
 		Abandoned: func() bool {
 			return x.evacuated() || x.handler.conns.CallerLeft(x.r.Context())
 		},
+		Watch: x.running.watch,
 	}
 }
 
--- a/gateway/internal/serve/starved_test.go
+++ b/gateway/internal/serve/starved_test.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"runtime"
 	"strconv"
@@ -41,9 +40,30 @@
 		}
 		return
 	}
+	if address := os.Getenv(starvedUpstreamVariable); address != "" {
+		if err := serveStarvedGateway(address); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	os.Exit(m.Run())
 }
 
+// useProcessor keeps goroutines busy for as long as the process lives.
+func useProcessor(goroutines int) {
+	var sum atomic.Int64
+	for i := range goroutines {
+		go func() {
+			for n := i; ; n++ {
+				if n%1_000_000 == 0 {
+					sum.Add(int64(n))
+				}
+			}
+		}()
+	}
+}
+
 // serveStarved serves requests on one processor that others use, until the standard input ends. It
 // prints its address.
 func serveStarved(idleMillis []string) error {
@@ -77,16 +97,7 @@
 			conns.prune(time.Now())
 		}
 	}()
-	var sum atomic.Int64
-	for i := range busyGoroutines {
-		go func() {
-			for n := i; ; n++ {
-				if n%1_000_000 == 0 {
-					sum.Add(int64(n))
-				}
-			}
-		}()
-	}
+	useProcessor(busyGoroutines)
 	fmt.Println(l.Addr())
 	_, _ = io.Copy(io.Discard, os.Stdin)
 	return nil
@@ -195,28 +206,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			binary, err := os.Executable()
-			is.NoErr(err)
-			server := exec.Command(binary)
-			server.Env = append(os.Environ(), starvedVariable+"="+idleMillis)
-			server.Stderr = os.Stderr
-			input, err := server.StdinPipe()
-			is.NoErr(err)
-			output, err := server.StdoutPipe()
-			is.NoErr(err)
-			is.NoErr(server.Start())
-			t.Cleanup(func() { _ = server.Wait() })
-			t.Cleanup(func() { input.Close() })
-			address, err := bufio.NewReader(output).ReadString('\n')
-			is.NoErr(err)
-
+			address, pid := startStarved(t, starvedVariable+"="+idleMillis)
 			var n crowdCounts
 			var crowd sync.WaitGroup
 			done := make(chan struct{})
-			go n.watchDescriptors(server.Process.Pid, done)
+			go n.watchDescriptors(pid, done)
 			end := time.Now().Add(duration)
 			for range callers {
-				crowd.Go(func() { n.call(strings.TrimSpace(address), end) })
+				crowd.Go(func() { n.call(address, end) })
 			}
 			crowd.Wait()
 			close(done)
--- a/gateway/internal/upstream/abandoned_test.go
+++ b/gateway/internal/upstream/abandoned_test.go
@@ -49,3 +49,36 @@
 	is.Equal(c.Idle(), 1)
 	is.Equal(u.requests.Load(), int64(1))
 }
+
+// TestAbortEndsExchangeAtOnce guards against an upstream that works until the goroutine of an aborted
+// exchange has run, and against the use of its connection for another request.
+func TestAbortEndsExchangeAtOnce(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan struct{})
+	u := serve(t, func(n int64, w net.Conn, r *bufio.Reader, request *http.Request) bool {
+		write(w, answerFor(request.Header.Get(idHeader), "yes"))
+		if n == 1 {
+			_, _ = r.ReadByte()
+			close(ended)
+		}
+		return n > 1
+	})
+	c := newClient()
+	ctx, cancel := context.WithCancel(context.Background())
+	var abort func()
+	stopped := 0
+	r := request("a", "")
+	r.Watch = func(f func()) func() {
+		abort = f
+		return func() { stopped++ }
+	}
+	a, err := c.Send(ctx, u.address(), r)
+	is.NoErr(err)
+	cancel()
+	abort()
+	<-ended
+	is.Equal(stopped, 0)
+	a.Close()
+	is.Equal(stopped, 1)
+	is.Equal(c.Idle(), 0)
+}
--- a/gateway/internal/upstream/client.go
+++ b/gateway/internal/upstream/client.go
@@ -84,6 +84,19 @@
 	// the request is written; if it returns true, the request is not sent. Nil means that the
 	// request is never abandoned.
 	Abandoned func() bool
+	// Watch is called once a connection is chosen, with a function that aborts the exchange without
+	// another goroutine. The context of Send must have ended before a call of abort. Stop is called
+	// when the exchange has ended, maybe more than once; abort must not be called after it. Nil means
+	// that only the context ends the exchange.
+	Watch func(abort func()) (stop func())
+}
+
+// watch calls Watch if there is one.
+func (r Request) watch(abort func()) (stop func()) {
+	if r.Watch == nil {
+		return func() {}
+	}
+	return r.Watch(abort)
 }
 
 // abandoned reports whether nobody waits for the answer any longer.
@@ -150,7 +163,7 @@
 
 // conn is one connection to an upstream.
 type conn struct {
-	net.Conn
+	*tcp.Conn
 	client  *Client
 	closed  sync.Once
 	address string
@@ -171,6 +184,14 @@
 	k.Close()
 }
 
+// abort ends the sending side at once, so that the upstream need not wait for the goroutine that closes
+// the connection, and fails all reads and writes. The connection can't be used further.
+func (k *conn) abort() {
+	// The connection may have ended already.
+	_ = k.CloseWrite()
+	_ = k.SetDeadline(pastDeadline)
+}
+
 // Read implements io.Reader. While a head is read it returns ErrTooLong after the limit.
 func (k *conn) Read(p []byte) (int, error) {
 	if k.readingHead {
--- a/gateway/internal/upstream/exchange.go
+++ b/gateway/internal/upstream/exchange.go
@@ -65,11 +65,15 @@
 		return nil, merry.Prependf(ErrUnreachable, "%v", err)
 	}
 	a := &Answer{
-		client:     c,
-		conn:       k,
-		ctx:        ctx,
-		request:    r,
-		stopCancel: context.AfterFunc(ctx, func() { _ = k.SetDeadline(pastDeadline) }),
+		client:  c,
+		conn:    k,
+		ctx:     ctx,
+		request: r,
+	}
+	stopCancel, stopWatch := context.AfterFunc(ctx, k.abort), r.watch(k.abort)
+	a.stopCancel = func() bool {
+		stopWatch()
+		return stopCancel()
 	}
 	if err := a.exchange(r); err != nil {
 		a.discard()
--- a/gateway/internal/upstream/reusable.go
+++ b/gateway/internal/upstream/reusable.go
@@ -10,11 +10,7 @@
 	if k.reader.Buffered() > 0 {
 		return false
 	}
-	raw, ok := k.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	access, err := raw.SyscallConn()
+	access, err := k.SyscallConn()
 	if err != nil {
 		return false
 	}
