--- a/gateway/internal/serve/callers.go
+++ b/gateway/internal/serve/callers.go
@@ -3,18 +3,24 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // callerScanInterval is the interval between scans for callers that have left while their requests run.
 const callerScanInterval = 100 * time.Millisecond
 
+// processStart is a time of the monotonic clock, which steps of the host's clock don't change.
+var processStart = time.Now()
+
 // callers are the requests that run. A scan looks at the sockets of their callers: in a process that is
-// short of processor time the goroutine of a timer runs long before one that waits for a socket. The
-// zero value has no requests. Its methods are safe for concurrent use.
+// short of processor time a goroutine that a socket wakes waits behind all others. The zero value has no
+// requests. Its methods are safe for concurrent use.
 type callers struct {
 	mu       sync.Mutex
 	requests map[*runningRequest]struct{}
+	// lastScan is when the last scan began, in nanoseconds since processStart.
+	lastScan atomic.Int64
 }
 
 // runningRequest is a request whose caller may leave.
@@ -66,11 +72,21 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			c.scan()
+			c.scanIfDue()
 		}
 	}
 }
 
+// scanIfDue scans if the last scan began callerScanInterval ago. Several goroutines that run often call
+// it, since a timer's goroutine waits, too, if another timer fires at the same time.
+func (c *callers) scanIfDue() {
+	now := int64(time.Since(processStart))
+	last := c.lastScan.Load()
+	if now-last >= int64(callerScanInterval) && c.lastScan.CompareAndSwap(last, now) {
+		c.scan()
+	}
+}
+
 // scan ends the requests whose callers have left.
 func (c *callers) scan() {
 	c.mu.Lock()
@@ -86,12 +102,14 @@
 	}
 }
 
-// callerLeft ends the request.
+// callerLeft ends the request, unless another scan does.
 func (r *runningRequest) callerLeft() {
-	r.cancel() // before abort, whose error is then that of a caller that has left
-	r.mu.Lock()
+	if !r.mu.TryLock() {
+		return // or its exchange begins or ends, and the next scan ends it
+	}
 	defer r.mu.Unlock()
 	r.left = true
+	r.cancel() // before abort, whose error is then that of a caller that has left
 	if r.abort != nil {
 		r.abort()
 		r.abort = nil
--- a/gateway/internal/serve/conns.go
+++ b/gateway/internal/serve/conns.go
@@ -92,6 +92,7 @@
 // ConnState records a change of a connection's state. It is meant for
 // http.Server.ConnState.
 func (c *Conns) ConnState(conn net.Conn, state http.ConnState) {
+	c.callers.scanIfDue()
 	c.mu.Lock()
 	if state == http.StateNew {
 		defer c.unlockForNew()
--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -142,6 +142,7 @@
 		unplacedSeconds:  metrics.Histograms("gateway_unplaced_seconds"),
 	}
 	h.conns = NewConns(s.MaxConns, h.idleTimeout, h.headTimeout)
+	h.lag.observed = h.conns.callers.scanIfDue
 	h.limitConns(metrics)
 	h.gate = newGate(s.ProcessorShare)
 	h.load = newLoad(s.ProcessorShare, h.gate, scheduler)
--- a/gateway/internal/serve/lag.go
+++ b/gateway/internal/serve/lag.go
@@ -25,6 +25,8 @@
 // Its methods are safe for concurrent use; Run must be called once.
 type Lag struct {
 	mean atomic.Int64 // nanoseconds
+	// observed, unless it is nil, is called after each measurement.
+	observed func()
 }
 
 // Run measures the lag until ctx ends.
@@ -42,6 +44,9 @@
 		l.observe(now.Sub(due))
 		due = now.Add(lagInterval)
 		timer.Reset(lagInterval)
+		if l.observed != nil {
+			l.observed()
+		}
 	}
 }
 
--- a/gateway/internal/serve/left_test.go
+++ b/gateway/internal/serve/left_test.go
@@ -86,6 +86,7 @@
 	}
 	go server.Serve(conns.Listener(l))
 	go conns.Run(context.Background())
+	go handler.Lag().Run(context.Background())
 	useProcessor(gatewayBusyGoroutines)
 	fmt.Println(l.Addr())
 	_, _ = io.Copy(io.Discard, os.Stdin)
