--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -142,6 +142,7 @@
 		unplacedSeconds:  metrics.Histograms("gateway_unplaced_seconds"),
 	}
 	h.conns = NewConns(s.MaxConns, h.idleTimeout, h.headTimeout)
+	h.lag.observed = h.conns.callers.scanIfDue
 	h.limitConns(metrics)
 	h.gate = newGate(s.ProcessorShare)
 	h.load = newLoad(s.ProcessorShare, h.gate, scheduler)
@@ -268,6 +269,7 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	arrived time.Time
+	running *runningRequest // from the first placement
 
 	route   *configuration.Route
 	service string // chosen by the weights of the route
