--- a/gateway/internal/upstream/head.go
+++ b/gateway/internal/upstream/head.go
@@ -11,6 +11,13 @@
 // it on the connection.
 var errCutHead = merry.Sentinel("another answer begins within the head of the upstream's answer")
 
+// errInvalidStatus means that the status of an answer is outside 100 to 599. RFC 9110, section
+// 15, has it treated as a failure of the server.
+var errInvalidStatus = merry.Sentinel("the status of the upstream's answer is not one of HTTP")
+
+// maxStatus is the greatest status of HTTP.
+const maxStatus = 599
+
 // statusLine matches the beginning of a status line.
 var statusLine = regexp.MustCompile(`HTTP/1\.[0-9] [0-9]{3}`)
 
@@ -30,7 +37,10 @@
 		if hasSecondStatusLine(response) {
 			return nil, errCutHead
 		}
-		if response.StatusCode >= http.StatusOK {
+		switch status := response.StatusCode; {
+		case status < http.StatusContinue || status > maxStatus:
+			return nil, merry.Prependf(errInvalidStatus, "status %03d", status)
+		case status >= http.StatusOK:
 			return response, nil
 		}
 		// Interim responses are dropped.
--- a/gateway/internal/upstream/heads_test.go
+++ b/gateway/internal/upstream/heads_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -69,3 +71,30 @@
 	is.NoErr(err)
 	is.Equal(body, "yes")
 }
+
+// TestInvalidStatusFailsExchange guards against a status that isn't one of HTTP and that is
+// taken for an answer, or for an interim one, also after interim answers and after an answer to
+// another request.
+func TestInvalidStatusFailsExchange(t *testing.T) {
+	for _, status := range []string{"000", "099", "+20", "600", "999"} {
+		for name, before := range map[string]string{
+			"first":                  "",
+			"after an interim one":   "HTTP/1.1 103 Early Hints\r\n\r\n",
+			"after a foreign answer": answerFor("other", "no"),
+		} {
+			t.Run(status+" "+name, func(t *testing.T) {
+				is := is.New(t)
+				u := serve(t, func(_ int64, w net.Conn, _ *bufio.Reader, _ *http.Request) bool {
+					write(w, before+"HTTP/1.1 "+status+" x\r\nAttempt: a\r\nContent-Length: 0\r\n\r\n")
+					return true
+				})
+				c := newClient()
+				started := time.Now()
+				_, err := exchange(t, c, u.address(), request("a", ""))
+				is.True(errors.Is(err, ErrBroken))
+				is.Equal(c.Idle(), 0)
+				is.True(time.Since(started) < time.Second)
+			})
+		}
+	}
+}
