--- a/sidecar/internal/upstream/client.go
+++ b/sidecar/internal/upstream/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"baobabpaddle/fleet/answer"
 	"baobabpaddle/fleet/share"
 	"baobabpaddle/fleet/tcp"
 	"baobabpaddle/fleet/wire"
@@ -33,6 +34,10 @@
 // upstream.
 var ErrNotSent = merry.Sentinel("request not sent: no connection to the upstream")
 
+// errInvalidStatus means that net/http's transport returned an answer whose status is not that of
+// a final one: one that is not of HTTP, or 101, which no request asks for.
+var errInvalidStatus = merry.Sentinel("the upstream's answer has no valid status")
+
 // Client sends requests to upstreams. It opens a new connection for each request, because
 // nothing but its connection tells which request an answer belongs to, and because Go's
 // transport resends a request if a connection that it reuses breaks. Only load reports share
@@ -76,7 +81,8 @@
 }
 
 // Do sends the request to the upstream at the URL and returns the response, whose body the
-// caller must close. The error wraps ErrNotSent if the request was certainly not sent.
+// caller must close. Its status is that of a final answer. The error wraps ErrNotSent if the
+// request was certainly not sent.
 func (c *Client) Do(ctx context.Context, url string, r *wire.RunRequest, body []byte) (*http.Response, error) {
 	// Nothing was sent for certain only if the transport never obtained a connection.
 	var connected atomic.Bool
@@ -92,13 +98,17 @@
 		request.Header[name] = values
 	}
 	response, err := c.singleUse.Do(request)
-	if err == nil {
-		return response, nil
-	}
-	if !connected.Load() {
+	if err != nil && !connected.Load() {
 		return nil, merry.Prependf(ErrNotSent, "%v", err)
 	}
-	return nil, merry.Prepend(err, "upstream")
+	if err != nil {
+		return nil, merry.Prepend(err, "upstream")
+	}
+	if !answer.IsFinalStatus(response.StatusCode) {
+		response.Body.Close()
+		return nil, merry.Prependf(errInvalidStatus, "status %03d", response.StatusCode)
+	}
+	return response, nil
 }
 
 // load is the body of the response to an engine's GET /load.
