--- a/gateway/internal/sidecar/claim.go
+++ b/gateway/internal/sidecar/claim.go
@@ -108,6 +108,9 @@
 	for {
 		switch claim.State {
 		case state.ClaimDone:
+			if isFailure(claim.Answer) {
+				return claimFinal, unknownOutcome(job)
+			}
 			return claimFinal, Replay(claim.Answer, sink)
 		case state.ClaimUnknown:
 			return claimFinal, unknownOutcome(job)
@@ -146,6 +149,12 @@
 	}
 }
 
+// isFailure reports whether a recorded answer has a status that isn't one of HTTP, as older
+// sidecars recorded it: the upstream failed, and what it did isn't known.
+func isFailure(recorded *state.Answer) bool {
+	return recorded != nil && !answer.IsFinalStatus(recorded.Status)
+}
+
 // Replay writes a recorded answer to the sink, marked by the header Idempotent-Replay. It
 // returns a problem if the answer was not kept.
 func Replay(recorded *state.Answer, sink Sink) *problem.Problem {
--- a/gateway/internal/sidecar/runner.go
+++ b/gateway/internal/sidecar/runner.go
@@ -250,6 +250,9 @@
 		if err := answer.DecodePayload(frame.Payload, &head); err != nil {
 			return err
 		}
+		if !answer.IsFinalStatus(head.Status) {
+			return errRunFailed // an older sidecar passes it on
+		}
 		err = a.sink.Head(head)
 	case answer.FrameData:
 		err = a.sink.Data(frame.Payload)
