--- a/bench/e2e/upstream_heads_test.go
+++ b/bench/e2e/upstream_heads_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -19,6 +20,9 @@
 	"baobabpaddle/fleet/resource"
 )
 
+// longUploadBytes is more than the buffers of a connection to an upstream that stops reading take.
+const longUploadBytes = 4 << 20
+
 // scriptedUpstream answers each path once with the text that is set for it, and then, and all
 // other paths, with the body "whole".
 type scriptedUpstream struct {
@@ -50,7 +54,13 @@
 		Resources:   resources,
 	})
 	for i, r := range resources {
-		if r.Kind == resource.KindUpstream {
+		switch {
+		case r.Kind == resource.KindService && r.Name == "booking":
+			resources[i] = newResource(t, r.Kind, r.Name, resource.Service{
+				Type:         resource.ServicePlain,
+				MaxBodyBytes: 2 * longUploadBytes,
+			})
+		case r.Kind == resource.KindUpstream:
 			spec := *upstreamOf(t, f, r.Name)
 			spec.URL = "http://" + l.Addr().String()
 			resources[i] = newResource(t, r.Kind, r.Name, spec)
@@ -146,3 +156,31 @@
 		})
 	}
 }
+
+// TestAnswerResetDuringUploadIsNotWhole guards against an upstream that answers a long upload at
+// once, before it reads its body, with a success without a length, and resets the connection
+// between two writes of the upload: the part of the answer looked whole.
+func TestAnswerResetDuringUploadIsNotWhole(t *testing.T) {
+	t.Parallel()
+	f, u := startScripted(t)
+	url := "http://" + f.Addresses.Gateways[0] + "/booking"
+	upload := strings.Repeat("b", longUploadBytes)
+	for round := range 40 {
+		script := func(c *net.TCPConn, _ io.Reader) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n")
+			time.Sleep(time.Duration(round%5) * time.Millisecond)
+			_ = c.SetLinger(0)
+		}
+		team := fmt.Sprintf("team-%d", round%4)
+		for path, method := range map[string]string{
+			"/lookup": http.MethodPut,
+			"/book":   http.MethodPost,
+		} {
+			u.set(path, script)
+			r := call(t.Context(), method, url+path, team, upload)
+			if r.err == nil && r.status == http.StatusOK && string(r.body) != "whole" {
+				t.Errorf("%s: the caller got %d bytes that look whole", path, len(r.body))
+			}
+		}
+	}
+}
--- a/gateway/internal/serve/reset_test.go
+++ b/gateway/internal/serve/reset_test.go
@@ -45,6 +45,7 @@
 // earlyAnswer is an answer that an upstream sends before it has read the whole request.
 type earlyAnswer struct {
 	path     string
+	header   string // further lines of the head
 	framing  framing
 	ending   ending
 	readPart int // number of bytes of the request that are read before the answer
@@ -102,7 +103,7 @@
 // serve answers the request on a connection.
 func (a earlyAnswer) serve(c *net.TCPConn, attempt string, body io.Reader) {
 	_, _ = io.CopyN(io.Discard, body, int64(a.readPart))
-	head := "HTTP/1.1 200 OK\r\nBaobabpaddle-Attempt-Id: " + attempt + "\r\n" + stamp
+	head := "HTTP/1.1 200 OK\r\nBaobabpaddle-Attempt-Id: " + attempt + "\r\n" + stamp + a.header
 	if a.isStream() {
 		head += eventType
 	}
