--- a/gateway/internal/serve/heads_test.go
+++ b/gateway/internal/serve/heads_test.go
@@ -83,3 +83,19 @@
 		}
 	}
 }
+
+// TestSwitchOfProtocolIsNoAnswer guards against an upstream that switches the protocol although no
+// request asks for that: the answer was waited for until the deadline.
+func TestSwitchOfProtocolIsNoAnswer(t *testing.T) {
+	for name, head := range map[string]string{
+		"without Upgrade": "",
+		"with Upgrade":    "Connection: Upgrade\r\nUpgrade: h2c\r\n",
+	} {
+		for _, keepOpen := range []bool{true, false} {
+			t.Run(name+", open "+strconv.FormatBool(keepOpen), func(t *testing.T) {
+				t.Parallel()
+				checkNoAnswer(t, "HTTP/1.1 101 Switching Protocols\r\n"+head+attempt+stamp+"\r\n", keepOpen)
+			})
+		}
+	}
+}
--- a/gateway/internal/upstream/head.go
+++ b/gateway/internal/upstream/head.go
@@ -15,6 +15,9 @@
 // 15, has it treated as a failure of the server.
 var errInvalidStatus = merry.Sentinel("the status of the upstream's answer is not one of HTTP")
 
+// errSwitch means that the upstream switches to another protocol, which no request asks for.
+var errSwitch = merry.Sentinel("the upstream switches the protocol without a request for it")
+
 // maxStatus is the greatest status of HTTP.
 const maxStatus = 599
 
@@ -40,6 +43,8 @@
 		switch status := response.StatusCode; {
 		case status < http.StatusContinue || status > maxStatus:
 			return nil, merry.Prependf(errInvalidStatus, "status %03d", status)
+		case status == http.StatusSwitchingProtocols:
+			return nil, errSwitch
 		case status >= http.StatusOK:
 			return response, nil
 		}
