--- a/gateway/internal/serve/heads_test.go
+++ b/gateway/internal/serve/heads_test.go
@@ -99,3 +99,21 @@
 		}
 	}
 }
+
+// TestSpaceInHeaderNameIsNoAnswer guards against a space in the name of the header that frames an
+// answer: a part of the body looked whole, or its chunks were taken for it.
+func TestSpaceInHeaderNameIsNoAnswer(t *testing.T) {
+	for name, rest := range map[string]string{
+		"length":   "Content-Length : 12\r\n\r\ntwelve",
+		"tab":      "Content-Length\t: 12\r\n\r\ntwelve",
+		"chunks":   "Transfer-Encoding : chunked\r\n\r\n3\r\nyes\r\n0\r\n\r\n",
+		"encoding": "Content-Encoding : gzip\r\nContent-Length: 3\r\n\r\nyes",
+	} {
+		for _, keepOpen := range []bool{true, false} {
+			t.Run(name+", open "+strconv.FormatBool(keepOpen), func(t *testing.T) {
+				t.Parallel()
+				checkNoAnswer(t, "HTTP/1.1 200 OK\r\n"+attempt+stamp+rest, keepOpen)
+			})
+		}
+	}
+}
--- a/gateway/internal/upstream/head.go
+++ b/gateway/internal/upstream/head.go
@@ -5,6 +5,8 @@
 	"regexp"
 
 	"github.com/ansel1/merry/v2"
+
+	"baobabpaddle/fleet/answer"
 )
 
 // errCutHead means that the head of an answer breaks off within a line and another one follows
@@ -18,6 +20,9 @@
 // errSwitch means that the upstream switches to another protocol, which no request asks for.
 var errSwitch = merry.Sentinel("the upstream switches the protocol without a request for it")
 
+// errInvalidHeader means that the name of a header contains a space.
+var errInvalidHeader = merry.Sentinel("a header of the upstream's answer has a space in its name")
+
 // maxStatus is the greatest status of HTTP.
 const maxStatus = 599
 
@@ -40,6 +45,9 @@
 		if hasSecondStatusLine(response) {
 			return nil, errCutHead
 		}
+		if answer.HasSpaceInName(response.Header) {
+			return nil, errInvalidHeader
+		}
 		switch status := response.StatusCode; {
 		case status < http.StatusContinue || status > maxStatus:
 			return nil, merry.Prependf(errInvalidStatus, "status %03d", status)
--- a/sidecar/internal/upstream/client.go
+++ b/sidecar/internal/upstream/client.go
@@ -38,6 +38,9 @@
 // a final one: one that is not of HTTP, or 101, which no request asks for.
 var errInvalidStatus = merry.Sentinel("the upstream's answer has no valid status")
 
+// errInvalidHeader means that the name of a header contains a space.
+var errInvalidHeader = merry.Sentinel("a header of the upstream's answer has a space in its name")
+
 // Client sends requests to upstreams. It opens a new connection for each request, because
 // nothing but its connection tells which request an answer belongs to, and because Go's
 // transport resends a request if a connection that it reuses breaks. Only load reports share
@@ -104,13 +107,24 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "upstream")
 	}
-	if !answer.IsFinalStatus(response.StatusCode) {
+	if err := checkHead(response); err != nil {
 		response.Body.Close()
-		return nil, merry.Prependf(errInvalidStatus, "status %03d", response.StatusCode)
+		return nil, err
 	}
 	return response, nil
 }
 
+// checkHead returns an error for the head of an answer that net/http accepts and that is invalid.
+func checkHead(response *http.Response) error {
+	if !answer.IsFinalStatus(response.StatusCode) {
+		return merry.Prependf(errInvalidStatus, "status %03d", response.StatusCode)
+	}
+	if answer.HasSpaceInName(response.Header) {
+		return errInvalidHeader
+	}
+	return nil
+}
+
 // load is the body of the response to an engine's GET /load.
 type load struct {
 	Sequence uint64    `json:"sequence"`
