--- a/gateway/internal/serve/heads_test.go
+++ b/gateway/internal/serve/heads_test.go
@@ -117,3 +117,41 @@
 		}
 	}
 }
+
+// TestChunksOfOldVersionAreNoBody guards against the marks of chunks in a body, and a part of it
+// that looks whole: net/http ignores Transfer-Encoding in an answer of a version before HTTP/1.1.
+func TestChunksOfOldVersionAreNoBody(t *testing.T) {
+	for _, version := range []string{"HTTP/1.0", "HTTP/0.9"} {
+		for name, extra := range map[string]string{
+			"chunks":            "",
+			"chunks and length": "Content-Length: 3\r\n",
+			"after a long head": "X: " + strings.Repeat("x", 3000) + "\r\n",
+		} {
+			for _, keepOpen := range []bool{true, false} {
+				t.Run(version+" "+name+", open "+strconv.FormatBool(keepOpen), func(t *testing.T) {
+					t.Parallel()
+					checkNoAnswer(t, version+" 200 OK\r\n"+attempt+stamp+extra+"transfer-encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\n\r\n", keepOpen)
+				})
+			}
+		}
+	}
+}
+
+// TestAnswerOfOldVersion checks that answers of HTTP/1.0 arrive.
+func TestAnswerOfOldVersion(t *testing.T) {
+	for name, rest := range map[string]string{
+		"length":    "Content-Length: 27\r\n\r\n",
+		"no length": "\r\n",
+		"long head": "X: " + strings.Repeat("x", 8000) + "\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const body = "Transfer-Encoding: chunked\n"
+			g := newTestGateway(t, writeText("HTTP/1.0 200 OK\r\n"+attempt+stamp+rest+body, false))
+			response, got, err := g.send("/book/")
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusOK)
+			is.Equal(got, body)
+		})
+	}
+}
--- a/gateway/internal/upstream/head.go
+++ b/gateway/internal/upstream/head.go
@@ -23,6 +23,10 @@
 // errInvalidHeader means that the name of a header contains a space.
 var errInvalidHeader = merry.Sentinel("a header of the upstream's answer has a space in its name")
 
+// errOldChunks means that an answer of a version before HTTP/1.1 has the header
+// Transfer-Encoding.
+var errOldChunks = merry.Sentinel("the upstream's answer has chunks and a version before HTTP/1.1")
+
 // maxStatus is the greatest status of HTTP.
 const maxStatus = 599
 
@@ -38,6 +42,9 @@
 	k.readingHead, k.headBytesLeft = true, a.client.limits.HeadBytes
 	defer func() { k.readingHead = false }()
 	for range a.client.limits.Interim + 1 {
+		if err := k.checkVersion(); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(a.conn.reader, request)
 		if err != nil {
 			return nil, err
@@ -61,6 +68,31 @@
 	return nil, ErrTooLong
 }
 
+// checkVersion returns an error if the next head is of a version before HTTP/1.1 and has the header
+// Transfer-Encoding in its first readBufferBytes, or if the version can't be read.
+func (k *conn) checkVersion() error {
+	start, err := k.reader.Peek(answer.VersionBytes)
+	if err != nil || !answer.IsOldVersion(start) {
+		return err
+	}
+	for {
+		arrived, err := k.reader.Peek(k.reader.Buffered())
+		if err != nil {
+			return err
+		}
+		has, whole := answer.HasTransferEncoding(arrived)
+		if has {
+			return errOldChunks
+		}
+		if whole || len(arrived) == k.reader.Size() {
+			return nil
+		}
+		if _, err := k.reader.Peek(len(arrived) + 1); err != nil {
+			return err
+		}
+	}
+}
+
 // hasSecondStatusLine reports whether a status line is part of another line of the head. The
 // status and the headers are then those of two answers.
 func hasSecondStatusLine(r *http.Response) bool {
--- a/sidecar/internal/upstream/client.go
+++ b/sidecar/internal/upstream/client.go
@@ -13,7 +13,6 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"baobabpaddle/fleet/answer"
 	"baobabpaddle/fleet/share"
 	"baobabpaddle/fleet/tcp"
 	"baobabpaddle/fleet/wire"
@@ -34,13 +33,6 @@
 // upstream.
 var ErrNotSent = merry.Sentinel("request not sent: no connection to the upstream")
 
-// errInvalidStatus means that net/http's transport returned an answer whose status is not that of
-// a final one: one that is not of HTTP, or 101, which no request asks for.
-var errInvalidStatus = merry.Sentinel("the upstream's answer has no valid status")
-
-// errInvalidHeader means that the name of a header contains a space.
-var errInvalidHeader = merry.Sentinel("a header of the upstream's answer has a space in its name")
-
 // Client sends requests to upstreams. It opens a new connection for each request, because
 // nothing but its connection tells which request an answer belongs to, and because Go's
 // transport resends a request if a connection that it reuses breaks. Only load reports share
@@ -71,7 +63,9 @@
 				if err != nil {
 					return nil, err
 				}
-				return tcp.New(c), nil
+				return &headConn{
+					Conn: tcp.New(c),
+				}, nil
 			},
 			DisableKeepAlives:      !keepAlive,
 			MaxIdleConnsPerHost:    maxIdlePerHost,
@@ -88,9 +82,9 @@
 // request was certainly not sent.
 func (c *Client) Do(ctx context.Context, url string, r *wire.RunRequest, body []byte) (*http.Response, error) {
 	// Nothing was sent for certain only if the transport never obtained a connection.
-	var connected atomic.Bool
+	var connected atomic.Pointer[httptrace.GotConnInfo]
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) { connected.Store(&info) },
 	})
 	request, err := http.NewRequestWithContext(ctx, r.Method, url+r.Path, bytes.NewReader(body))
 	if err != nil {
@@ -101,30 +95,19 @@
 		request.Header[name] = values
 	}
 	response, err := c.singleUse.Do(request)
-	if err != nil && !connected.Load() {
+	if err != nil && connected.Load() == nil {
 		return nil, merry.Prependf(ErrNotSent, "%v", err)
 	}
 	if err != nil {
 		return nil, merry.Prepend(err, "upstream")
 	}
-	if err := checkHead(response); err != nil {
+	if err := checkHead(response, connected.Load().Conn); err != nil {
 		response.Body.Close()
 		return nil, err
 	}
 	return response, nil
 }
 
-// checkHead returns an error for the head of an answer that net/http accepts and that is invalid.
-func checkHead(response *http.Response) error {
-	if !answer.IsFinalStatus(response.StatusCode) {
-		return merry.Prependf(errInvalidStatus, "status %03d", response.StatusCode)
-	}
-	if answer.HasSpaceInName(response.Header) {
-		return errInvalidHeader
-	}
-	return nil
-}
-
 // load is the body of the response to an engine's GET /load.
 type load struct {
 	Sequence uint64    `json:"sequence"`
--- a/sidecar/internal/upstream/heads_test.go
+++ b/sidecar/internal/upstream/heads_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -81,3 +82,49 @@
 		}
 	}
 }
+
+// TestChunksOfOldVersionAreNoBody guards against the marks of chunks in a body, and a part of it
+// that looks whole: net/http ignores Transfer-Encoding in an answer of a version before HTTP/1.1.
+func TestChunksOfOldVersionAreNoBody(t *testing.T) {
+	for _, version := range []string{"HTTP/1.0", "HTTP/0.9"} {
+		for name, extra := range map[string]string{
+			"chunks":            "",
+			"chunks and length": "Content-Length: 3\r\n",
+			"after a long head": "X: " + strings.Repeat("x", 3000) + "\r\n",
+		} {
+			for _, keepOpen := range []bool{true, false} {
+				t.Run(version+" "+name+", open "+strconv.FormatBool(keepOpen), func(t *testing.T) {
+					checkNoAnswer(t, version+" 200 OK\r\n"+extra+"transfer-encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\n\r\n", keepOpen)
+				})
+			}
+		}
+	}
+}
+
+// TestAnswerOfOldVersion checks that answers of HTTP/1.0 arrive.
+func TestAnswerOfOldVersion(t *testing.T) {
+	for name, rest := range map[string]string{
+		"length":    "Content-Length: 27\r\n\r\n",
+		"no length": "\r\n",
+		"long head": "X: " + strings.Repeat("x", 8000) + "\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const body = "Transfer-Encoding: chunked\n"
+			url := startUpstream(t, func(c net.Conn, r *bufio.Reader) {
+				if _, err := http.ReadRequest(r); err == nil {
+					_, _ = io.WriteString(c, "HTTP/1.0 200 OK\r\n"+rest+body)
+				}
+			})
+			response, err := NewClient().Do(context.Background(), url, &wire.RunRequest{
+				Method: http.MethodPost,
+				Path:   "/",
+			}, nil)
+			is.NoErr(err)
+			defer response.Body.Close()
+			got, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			is.Equal(string(got), body)
+		})
+	}
+}
