--- a/gateway/internal/serve/heads_test.go
+++ b/gateway/internal/serve/heads_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -155,3 +156,75 @@
 		})
 	}
 }
+
+// TestFaultyFramingIsNoAnswer guards against a head whose version, status or framing is faulty and
+// that is taken for an answer, or waited for until the deadline.
+func TestFaultyFramingIsNoAnswer(t *testing.T) {
+	for name, head := range map[string]string{
+		"two lengths":         "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n",
+		"a list of lengths":   "HTTP/1.1 200 OK\r\nContent-Length: 3, 2\r\n",
+		"a negative length":   "HTTP/1.1 200 OK\r\nContent-Length: -3\r\n",
+		"a signed length":     "HTTP/1.1 200 OK\r\nContent-Length: +3\r\n",
+		"an endless length":   "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n",
+		"an empty length":     "HTTP/1.1 200 OK\r\nContent-Length: \r\n",
+		"another coding":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n",
+		"two codings":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+		"no header name":      "HTTP/1.1 200 OK\r\n: x\r\nContent-Length: 3\r\n",
+		"a line, no header":   "HTTP/1.1 200 OK\r\nfoo bar\r\nContent-Length: 3\r\n",
+		"four digits":         "HTTP/1.1 2000 OK\r\nContent-Length: 3\r\n",
+		"two digits":          "HTTP/1.1 20 OK\r\nContent-Length: 3\r\n",
+		"no status":           "HTTP/1.1 OK\r\nContent-Length: 3\r\n",
+		"no version":          "200 OK\r\nContent-Length: 3\r\n",
+		"a version in lower":  "http/1.1 200 OK\r\nContent-Length: 3\r\n",
+		"a long version":      "HTTP/1.10 200 OK\r\nContent-Length: 3\r\n",
+		"a version, no point": "HTTP/11 200 OK\r\nContent-Length: 3\r\n",
+		"another protocol":    "\x15\x03\x01\x00\x02\x02\n",
+	} {
+		for _, keepOpen := range []bool{true, false} {
+			t.Run(name+", open "+strconv.FormatBool(keepOpen), func(t *testing.T) {
+				t.Parallel()
+				checkNoAnswer(t, head+attempt+stamp+"\r\nyes", keepOpen)
+			})
+		}
+	}
+}
+
+// TestBodyWithoutPlaceIsNoAnswer guards against the body of an answer that has none by its status,
+// and that is taken for the answer to the next request on the connection.
+func TestBodyWithoutPlaceIsNoAnswer(t *testing.T) {
+	const body = "HTTP/1.1 200 OK\r\n" + stamp + "Content-Length: 2\r\n\r\nno"
+	for _, status := range []string{"204 No Content", "304 Not Modified"} {
+		for name, framing := range map[string]string{
+			"length":    "Content-Length: " + lengthOf(body) + "\r\n",
+			"chunks":    "Transfer-Encoding: chunked\r\n",
+			"no length": "",
+		} {
+			for _, pause := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
+				t.Run(status+" "+name+", pause "+pause.String(), func(t *testing.T) {
+					t.Parallel()
+					is := is.New(t)
+					g := newTestGateway(t, nil)
+					var later atomic.Bool
+					g.setScript("a", func(w net.Conn, r *http.Request) bool {
+						if later.Swap(true) {
+							return reply("200 OK", stamp, "yes")(w, r)
+						}
+						writeText("HTTP/1.1 "+status+"\r\n"+attempt+stamp+framing+"\r\n", true)(w, r)
+						time.Sleep(pause)
+						return writeText(body, true)(w, r)
+					})
+					response, got, err := g.send("/book/")
+					is.NoErr(err)
+					is.Equal(response.Status, status)
+					is.Equal(got, "")
+					response, got, err = g.send("/book/")
+					is.NoErr(err)
+					if response.StatusCode != http.StatusBadGateway {
+						is.Equal(response.StatusCode, http.StatusOK)
+						is.Equal(got, "yes")
+					}
+				})
+			}
+		}
+	}
+}
--- a/sidecar/internal/upstream/heads_test.go
+++ b/sidecar/internal/upstream/heads_test.go
@@ -128,3 +128,34 @@
 		})
 	}
 }
+
+// TestFaultyFramingIsNoAnswer guards against a head whose version, status or framing is faulty and
+// that is taken for an answer, or waited for until the deadline.
+func TestFaultyFramingIsNoAnswer(t *testing.T) {
+	for name, head := range map[string]string{
+		"two lengths":         "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n",
+		"a list of lengths":   "HTTP/1.1 200 OK\r\nContent-Length: 3, 2\r\n",
+		"a negative length":   "HTTP/1.1 200 OK\r\nContent-Length: -3\r\n",
+		"a signed length":     "HTTP/1.1 200 OK\r\nContent-Length: +3\r\n",
+		"an endless length":   "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n",
+		"an empty length":     "HTTP/1.1 200 OK\r\nContent-Length: \r\n",
+		"another coding":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n",
+		"two codings":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+		"no header name":      "HTTP/1.1 200 OK\r\n: x\r\nContent-Length: 3\r\n",
+		"a line, no header":   "HTTP/1.1 200 OK\r\nfoo bar\r\nContent-Length: 3\r\n",
+		"four digits":         "HTTP/1.1 2000 OK\r\nContent-Length: 3\r\n",
+		"two digits":          "HTTP/1.1 20 OK\r\nContent-Length: 3\r\n",
+		"no status":           "HTTP/1.1 OK\r\nContent-Length: 3\r\n",
+		"no version":          "200 OK\r\nContent-Length: 3\r\n",
+		"a version in lower":  "http/1.1 200 OK\r\nContent-Length: 3\r\n",
+		"a long version":      "HTTP/1.10 200 OK\r\nContent-Length: 3\r\n",
+		"a version, no point": "HTTP/11 200 OK\r\nContent-Length: 3\r\n",
+		"another protocol":    "\x15\x03\x01\x00\x02\x02\n",
+	} {
+		for _, keepOpen := range []bool{true, false} {
+			t.Run(name+", open "+strconv.FormatBool(keepOpen), func(t *testing.T) {
+				checkNoAnswer(t, head+"\r\nyes", keepOpen)
+			})
+		}
+	}
+}
