--- a/gateway/internal/caller/request.go
+++ b/gateway/internal/caller/request.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 
+	"baobabpaddle/fleet/answer"
 	"baobabpaddle/fleet/state"
 	"baobabpaddle/gateway/internal/sidecar"
 )
@@ -56,7 +57,11 @@
 		RequestID: id,
 		Run:       claim.State,
 	}
-	if claim.Answer != nil {
+	switch {
+	case claim.Answer == nil:
+	case !answer.IsFinalStatus(claim.Answer.Status): // recorded by an older sidecar for a failure
+		out.Run = state.ClaimUnknown
+	default:
 		out.Status = claim.Answer.Status
 		out.Body = string(claim.Answer.Body)
 	}
