--- a/sidecar/internal/upstream/client.go
+++ b/sidecar/internal/upstream/client.go
@@ -63,7 +63,9 @@
 				if err != nil {
 					return nil, err
 				}
-				return tcp.New(c), nil
+				return &headConn{
+					Conn: tcp.New(c),
+				}, nil
 			},
 			DisableKeepAlives:      !keepAlive,
 			MaxIdleConnsPerHost:    maxIdlePerHost,
@@ -76,12 +78,13 @@
 }
 
 // Do sends the request to the upstream at the URL and returns the response, whose body the
-// caller must close. The error wraps ErrNotSent if the request was certainly not sent.
+// caller must close. Its status is that of a final answer. The error wraps ErrNotSent if the
+// request was certainly not sent.
 func (c *Client) Do(ctx context.Context, url string, r *wire.RunRequest, body []byte) (*http.Response, error) {
 	// Nothing was sent for certain only if the transport never obtained a connection.
-	var connected atomic.Bool
+	var connected atomic.Pointer[httptrace.GotConnInfo]
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) { connected.Store(&info) },
 	})
 	request, err := http.NewRequestWithContext(ctx, r.Method, url+r.Path, bytes.NewReader(body))
 	if err != nil {
@@ -92,13 +95,17 @@
 		request.Header[name] = values
 	}
 	response, err := c.singleUse.Do(request)
-	if err == nil {
-		return response, nil
-	}
-	if !connected.Load() {
+	if err != nil && connected.Load() == nil {
 		return nil, merry.Prependf(ErrNotSent, "%v", err)
 	}
-	return nil, merry.Prepend(err, "upstream")
+	if err != nil {
+		return nil, merry.Prepend(err, "upstream")
+	}
+	if err := checkHead(response, connected.Load().Conn); err != nil {
+		response.Body.Close()
+		return nil, err
+	}
+	return response, nil
 }
 
 // load is the body of the response to an engine's GET /load.
