--- a/bench/e2e/upstream_heads_test.go
+++ b/bench/e2e/upstream_heads_test.go
@@ -111,7 +111,7 @@
 }
 
 // callUntilRun is like call, and repeats a request that was refused without running, as it is while
-// the controller's disk is slow.
+// there is no quorum.
 func callUntilRun(ctx context.Context, method, url, body string, header ...string) reply {
 	for {
 		r := call(ctx, method, url, "team-0", body, header...)
