--- a/fleet/raft/core.go
+++ b/fleet/raft/core.go
@@ -71,7 +71,8 @@
 	members             Members
 	membersIndex        uint64
 	snapshotMembers     Members
-	votes               map[uint64]bool
+	votes               map[uint64]bool // granted in the current term; nil unless the replica stood for election in it
+	preVotes            map[uint64]bool // granted for the next term; nil unless a pre-candidate
 	peers               map[uint64]*peerProgress
 	pendingReads        []pendingRead
 	readSequence        uint64
@@ -137,7 +138,12 @@
 
 // Votes returns the voters that have granted their vote or pre-vote in the present
 // campaign, in ascending order. It returns nil outside a campaign.
-func (c *Core) Votes() []uint64 { return slices.Sorted(maps.Keys(c.votes)) }
+func (c *Core) Votes() []uint64 {
+	if c.role == PreCandidate {
+		return slices.Sorted(maps.Keys(c.preVotes))
+	}
+	return slices.Sorted(maps.Keys(c.votes))
+}
 
 // Commit returns the highest index known to be committed.
 func (c *Core) Commit() uint64 { return c.hardState.Commit }
@@ -251,6 +257,7 @@
 	c.role = Follower
 	c.leader = leader
 	c.votes = nil
+	c.preVotes = nil
 	c.peers = nil
 	c.failReads()
 	c.resetElectionTimer(now)
--- a/fleet/raft/election.go
+++ b/fleet/raft/election.go
@@ -7,19 +7,21 @@
 	transferRequested := c.transferRequested
 	c.transferRequested = false
 	c.leader = 0
-	c.votes = map[uint64]bool{c.settings.ID: true}
 	term := c.hardState.Term + 1
 	kind := MsgPreVote
 	if pre {
 		c.role = PreCandidate
+		c.preVotes = map[uint64]bool{c.settings.ID: true}
 	} else {
 		c.role = Candidate
+		c.preVotes = nil
+		c.votes = map[uint64]bool{c.settings.ID: true}
 		kind = MsgVote
 		c.hardState.Term = term
 		c.hardState.Vote = c.settings.ID
 		c.emitHardState()
 	}
-	if c.tallyVotes(now) {
+	if c.tallyVotes(now, kind) {
 		return
 	}
 	for _, m := range c.members.List {
@@ -37,13 +39,18 @@
 	}
 }
 
-// tallyVotes reports whether a majority of voters has granted its vote, and if
-// so moves from the pre-vote to the vote or from the vote to leadership.
-func (c *Core) tallyVotes(now time.Time) bool {
-	if !c.members.Majority(func(id uint64) bool { return c.votes[id] }) {
+// tallyVotes reports whether a majority of voters has granted the requests of the kind
+// MsgPreVote or MsgVote, and if so moves from the pre-vote to the vote or from the vote to
+// leadership.
+func (c *Core) tallyVotes(now time.Time, kind MessageType) bool {
+	granted := c.votes
+	if kind == MsgPreVote {
+		granted = c.preVotes
+	}
+	if !c.members.Majority(func(id uint64) bool { return granted[id] }) {
 		return false
 	}
-	if c.role == PreCandidate {
+	if kind == MsgPreVote {
 		c.campaign(now, false)
 	} else {
 		c.becomeLeader(now)
@@ -55,6 +62,7 @@
 // of earlier terms can only be committed by one of the current term.
 func (c *Core) becomeLeader(now time.Time) {
 	c.role = Leader
+	c.preVotes = nil
 	c.leader = c.settings.ID
 	c.peers = make(map[uint64]*peerProgress)
 	c.syncPeers(now)
@@ -172,21 +180,21 @@
 }
 
 // stepVoteReply handles MsgPreVoteReply and MsgVoteReply. A granted pre-vote
-// carries the term that the candidate would enter.
+// carries the term that the candidate would enter. Votes count until the replica leaves
+// the term, also while it asks for pre-votes of the next one: on slow disks votes become
+// durable later than the candidate's election timeout.
 func (c *Core) stepVoteReply(now time.Time, m Message) {
-	want := Candidate
-	term := c.hardState.Term
+	kind, granted, term := MsgVote, c.votes, c.hardState.Term
 	if m.Type == MsgPreVoteReply {
-		want = PreCandidate
-		term++
+		kind, granted, term = MsgPreVote, c.preVotes, term+1
 	}
 	if m.Reject && m.Term > c.hardState.Term {
 		c.becomeFollower(now, m.Term, 0)
 		return
 	}
-	if c.role != want || m.Reject || m.Term != term {
+	if granted == nil || c.role == Leader || m.Reject || m.Term != term {
 		return
 	}
-	c.votes[m.From] = true
-	c.tallyVotes(now)
+	granted[m.From] = true
+	c.tallyVotes(now, kind)
 }
