--- a/controller/internal/replica/replica.go
+++ b/controller/internal/replica/replica.go
@@ -222,9 +222,10 @@
 		case messages := <-r.inbox:
 			r.step(messages)
 		case <-timer.C:
-			r.core.Tick(time.Now())
 		}
 		r.drainQueues()
+		// Messages that arrived during a write count before the deadlines that passed during it.
+		r.core.Tick(time.Now())
 		if err := r.processOutput(); err != nil {
 			r.fatal = err
 			return err
@@ -260,14 +261,15 @@
 // drainQueues handles what else is queued, up to maxBatch, so that it shares one
 // sync.
 func (r *Replica) drainQueues() {
+	proposals, reads := r.proposals, r.reads
 	if r.settings.DisableGroupCommit {
-		return
+		proposals, reads = nil, nil
 	}
 	for range maxBatch {
 		select {
-		case p := <-r.proposals:
+		case p := <-proposals:
 			r.propose(p)
-		case req := <-r.reads:
+		case req := <-reads:
 			r.read(req)
 		case messages := <-r.inbox:
 			r.step(messages)
