--- a/controller/internal/replica/apply.go
+++ b/controller/internal/replica/apply.go
@@ -21,6 +21,7 @@
 		if err := r.handleOutput(out); err != nil {
 			return err
 		}
+		r.core.Heartbeat(time.Now()) // another write may follow
 	}
 	if r.applied-r.snapshotIndex >= r.settings.SnapshotEvery || r.logTooLarge() {
 		if err := r.compact(); err != nil {
--- a/controller/internal/replica/slow_disk_test.go
+++ b/controller/internal/replica/slow_disk_test.go
@@ -22,7 +22,7 @@
 	slowDiskWrite = 600 * time.Millisecond
 	// replyInterval is the time between two messages of the other voter.
 	replyInterval = 5 * time.Millisecond
-	slowChanges   = 100
+	slowChanges   = 1000
 )
 
 // slowStore is a store that keeps nothing and whose writes take slowDiskWrite while its replica
@@ -151,3 +151,17 @@
 		})
 	})
 }
+
+// TestLeaderIsNotSilentForTwoWrites guards against followers that elect another leader while the
+// leader's disk is slow: no heartbeat was sent between the write of an entry and that of the
+// snapshot after it.
+func TestLeaderIsNotSilentForTwoWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		leadOnSlowDisk(t, time.Minute, func(r *Replica) {
+			// A leader's next deadline is its next heartbeat, as its check of the quorum is a minute away.
+			if due := r.core.Deadline(); time.Now().After(due) {
+				t.Errorf("a write begins %s after a heartbeat was due", time.Since(due))
+			}
+		}, func(*Replica, uint64) {})
+	})
+}
--- a/fleet/membership/power_replica_test.go
+++ b/fleet/membership/power_replica_test.go
@@ -217,6 +217,7 @@
 			r.core.Persisted(r.host.clock(), out.Entries[len(out.Entries)-1].Index)
 		}
 		r.finishOutput(out)
+		r.core.Heartbeat(r.host.clock())
 		r.processOutput()
 	})
 	return len(writes) > 0
--- a/fleet/raft/core.go
+++ b/fleet/raft/core.go
@@ -220,9 +220,7 @@
 			return
 		}
 	}
-	if !now.Before(c.heartbeatDeadline) {
-		c.heartbeatDeadline = now.Add(c.settings.HeartbeatInterval)
-		c.broadcast(now)
+	if c.Heartbeat(now) {
 		c.reconfigure(now)
 	}
 }
--- a/fleet/raft/replication.go
+++ b/fleet/raft/replication.go
@@ -185,6 +185,18 @@
 	}
 }
 
+// Heartbeat sends the appends of a leader if they are due, and reports whether they were. It
+// acts on no other deadline and adds no entry: a driver calls it between two writes, before it
+// handles the messages that have arrived meanwhile.
+func (c *Core) Heartbeat(now time.Time) bool {
+	if c.role != Leader || now.Before(c.heartbeatDeadline) {
+		return false
+	}
+	c.heartbeatDeadline = now.Add(c.settings.HeartbeatInterval)
+	c.broadcast(now)
+	return true
+}
+
 // broadcast sends each peer the entries that it lacks, or a heartbeat.
 func (c *Core) broadcast(now time.Time) {
 	for _, m := range c.members.List {
