--- a/controller/internal/replica/apply.go
+++ b/controller/internal/replica/apply.go
@@ -34,21 +34,22 @@
 }
 
 // handleOutput carries out one output of the core. Appends to other replicas are
-// sent before the sync, so that the disks of all replicas sync at the same time.
-// All other messages are sent after it, since they promise what must be durable.
+// sent before the sync, so that the disks of all replicas sync at the same time, and so are
+// answers to heartbeats, since a leader steps down if a majority is silent. All other messages
+// are sent after it, since they promise what must be durable.
 func (r *Replica) handleOutput(out raft.Output) error {
+	var afterSync []raft.Message
 	for _, m := range out.Messages {
-		if m.Type == raft.MsgAppend {
+		if r.core.BeforeSync(out, r.durableHardState, m) {
 			r.network.send(m)
+		} else {
+			afterSync = append(afterSync, m)
 		}
 	}
 	if err := r.persist(out); err != nil {
 		return err
 	}
-	for _, m := range out.Messages {
-		if m.Type == raft.MsgAppend {
-			continue
-		}
+	for _, m := range afterSync {
 		if m.Type == raft.MsgSnapshot {
 			if err := r.attachSnapshot(&m); err != nil {
 				return err
--- a/fleet/membership/power_replica_test.go
+++ b/fleet/membership/power_replica_test.go
@@ -161,11 +161,15 @@
 		if out.Empty() {
 			break
 		}
+		var afterSync []raft.Message
 		for _, m := range out.Messages {
-			if m.Type == raft.MsgAppend {
+			if r.core.BeforeSync(out, r.durableHard, m) {
 				r.send(m)
+			} else {
+				afterSync = append(afterSync, m)
 			}
 		}
+		out.Messages = afterSync
 		if r.persist(out) {
 			return
 		}
@@ -226,9 +230,6 @@
 // finishOutput does what Replica.handleOutput does after the sync.
 func (r *replica) finishOutput(out raft.Output) {
 	for _, m := range out.Messages {
-		if m.Type == raft.MsgAppend {
-			continue
-		}
 		if m.Type == raft.MsgSnapshot {
 			stored := r.stored
 			m.Snapshot = &stored
--- a/fleet/raft/driver_test.go
+++ b/fleet/raft/driver_test.go
@@ -2,8 +2,8 @@
 
 import "slices"
 
-// processOutput does what the driver does with an Output: it sends appends
-// before the sync and all other messages after it. A crash may occur in between.
+// processOutput does what the driver does with an Output: it sends the messages that
+// BeforeSync names before the sync and all others after it. A crash may occur in between.
 func (s *schedule) processOutput(n *node) {
 	for n.up {
 		n.core.Flush(s.now)
@@ -11,9 +11,12 @@
 		if out.Empty() {
 			break
 		}
+		var afterSync []Message
 		for _, m := range out.Messages {
-			if m.Type == MsgAppend {
+			if n.core.BeforeSync(out, n.hard, m) {
 				s.send(m)
+			} else {
+				afterSync = append(afterSync, m)
 			}
 		}
 		if !s.healthy && s.random.IntN(1000) < 3 {
@@ -21,14 +24,12 @@
 			return
 		}
 		s.sync(n, out)
-		for _, m := range out.Messages {
+		for _, m := range afterSync {
 			if m.Type == MsgSnapshot {
 				stored := n.snapshot
 				m.Snapshot = &stored
 			}
-			if m.Type != MsgAppend {
-				s.send(m)
-			}
+			s.send(m)
 		}
 		s.apply(n, out)
 	}
--- a/fleet/raft/message.go
+++ b/fleet/raft/message.go
@@ -150,7 +150,8 @@
 	Entries []Entry
 	// Snapshot must be made durable and handed to the state machine.
 	Snapshot *Snapshot
-	// Messages are to be sent; all but MsgAppend only after the above is durable.
+	// Messages are to be sent; those that Core.BeforeSync doesn't name only after the above
+	// is durable.
 	Messages []Message
 	// Committed entries must be applied to the state machine in order.
 	Committed []Entry
--- a/fleet/raft/replication.go
+++ b/fleet/raft/replication.go
@@ -124,6 +124,18 @@
 	c.send(reply)
 }
 
+// BeforeSync reports whether a message of an output may be sent before the output is durable,
+// given what is durable already: an append, which followers make durable at the same time, or
+// the answer to an append that acknowledges only what is durable, such as a heartbeat. It must be
+// called before Persisted.
+func (c *Core) BeforeSync(out Output, durable HardState, m Message) bool {
+	if m.Type == MsgAppend {
+		return true
+	}
+	return m.Type == MsgAppendReply && !m.Reject && m.Index <= c.persisted &&
+		out.Snapshot == nil && (out.HardState == nil || !out.HardState.MustSync(durable))
+}
+
 // conflictHint returns the highest index that may match the leader's log: the
 // end of a log that is too short, else the index before the conflicting term,
 // but not below the commit index. It spares the leader one round trip per
