--- a/fleet/membership/power_replica_test.go
+++ b/fleet/membership/power_replica_test.go
@@ -161,11 +161,15 @@
 		if out.Empty() {
 			break
 		}
+		var afterSync []raft.Message
 		for _, m := range out.Messages {
-			if m.Type == raft.MsgAppend {
+			if r.core.BeforeSync(out, r.durableHard, m) {
 				r.send(m)
+			} else {
+				afterSync = append(afterSync, m)
 			}
 		}
+		out.Messages = afterSync
 		if r.persist(out) {
 			return
 		}
@@ -217,6 +221,7 @@
 			r.core.Persisted(r.host.clock(), out.Entries[len(out.Entries)-1].Index)
 		}
 		r.finishOutput(out)
+		r.core.Heartbeat(r.host.clock())
 		r.processOutput()
 	})
 	return len(writes) > 0
@@ -225,9 +230,6 @@
 // finishOutput does what Replica.handleOutput does after the sync.
 func (r *replica) finishOutput(out raft.Output) {
 	for _, m := range out.Messages {
-		if m.Type == raft.MsgAppend {
-			continue
-		}
 		if m.Type == raft.MsgSnapshot {
 			stored := r.stored
 			m.Snapshot = &stored
