--- a/gateway/internal/serve/tracked_conn.go
+++ b/gateway/internal/serve/tracked_conn.go
@@ -49,6 +49,9 @@
 	// waiting is true while the reader waits for more of a head, or for the first byte of one, and
 	// the socket has none.
 	waiting atomic.Bool
+	// buffered is true while the server may hold a part of the next request that it has read together
+	// with the last one: from the end of a head until it reads again.
+	buffered atomic.Bool
 	// held is the memory reserved for the connection, in bytes.
 	held atomic.Int64
 	// idleSince, bodySince and writeSince are when the connection became idle, when the body of
@@ -101,6 +104,7 @@
 // Read implements net.Conn. It returns nothing once the gateway closes the connection.
 func (t *trackedConn) Read(p []byte) (int, error) {
 	if t.state.Load() >= connIdle {
+		t.buffered.Store(false)
 		t.awaitHead()
 	}
 	n, err := t.Conn.Read(p)
@@ -212,6 +216,7 @@
 			t.reportDropped()
 			return false
 		}
+		t.buffered.Store(true)
 		if t.state.CompareAndSwap(state, connAnswering) {
 			return true
 		}
@@ -232,7 +237,7 @@
 // endIdle makes an idle connection on which nothing has arrived one that the gateway closes. It
 // reports whether it was idle.
 func (t *trackedConn) endIdle() bool {
-	if t.state.Load() != connIdle {
+	if t.state.Load() != connIdle || t.buffered.Load() {
 		return false
 	}
 	if unread, _ := t.peek(); unread {
--- /dev/null
+++ b/gateway/internal/serve/unread_test.go
@@ -0,0 +1,76 @@
+package serve
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// acceptOne returns the two ends of a connection of conns that the server was shown.
+func acceptOne(t *testing.T, conns *Conns) (caller net.Conn, accepted *trackedConn) {
+	t.Helper()
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	caller, err = net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	t.Cleanup(func() { caller.Close() })
+	c, err := conns.Listener(listener).Accept()
+	is.NoErr(err)
+	t.Cleanup(func() { c.Close() })
+	conns.ConnState(c, http.StateNew)
+	return caller, c.(*trackedConn)
+}
+
+// awaitUnread waits until bytes have arrived that were not read.
+func awaitUnread(t *testing.T, conn *trackedConn) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if unread, _ := conn.peek(); unread {
+			return
+		}
+	}
+	t.Fatal("nothing has arrived")
+}
+
+// TestRequestInServerBufferKeepsConnection guards against a whole request without an answer: it was read
+// together with the one before it, whose connection is closed as idle before the server handles it.
+func TestRequestInServerBufferKeepsConnection(t *testing.T) {
+	for name, end := range map[string]func(conns *Conns){
+		"idle for too long": func(conns *Conns) {
+			conns.prune(time.Now().Add(time.Minute))
+		},
+		"end of a drain": func(conns *Conns) {
+			conns.CloseIdle()
+		},
+		"too many connections": func(conns *Conns) {
+			conns.mu.Lock()
+			defer conns.unlock()
+			conns.makeRoom(nil)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			conns := NewConns(5, func() time.Duration { return time.Second }, noLimit)
+			caller, conn := acceptOne(t, conns)
+			const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+			_, err := io.WriteString(caller, request+request)
+			is.NoErr(err)
+			awaitUnread(t, conn)
+			n, err := conn.Read(make([]byte, 100))
+			is.NoErr(err)
+			is.Equal(n, 2*len(request))
+			conns.ConnState(conn, http.StateActive)
+			ctx := conns.ConnContext(t.Context(), conn)
+			is.True(conns.HeadRead(ctx))
+			conns.ConnState(conn, http.StateIdle)
+			end(conns)
+			is.True(conns.HeadRead(ctx))
+		})
+	}
+}
