--- a/gateway/internal/serve/socket.go
+++ b/gateway/internal/serve/socket.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"syscall"
+	"time"
 )
 
 // socket returns access to the connection's socket, or nil if it has none.
@@ -48,6 +49,32 @@
 	return unread, closed
 }
 
+// readNow reads what of a head has arrived, without waiting and after the deadline of reads, too: the
+// reader may have waited for the processor. It returns the number of bytes.
+func (t *trackedConn) readNow(p []byte) int {
+	access := t.socket()
+	if access == nil || len(p) == 0 {
+		return 0
+	}
+	read := 0
+	// An error ends the connection, as the deadline would have.
+	_ = access.Control(func(fd uintptr) {
+		if n, err := peekByte(fd); err != nil || n == 0 {
+			return
+		}
+		t.state.CompareAndSwap(connIdle, time.Now().UnixNano()) // before the bytes are taken, see awaitHead
+		for {
+			n, _, err := syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT)
+			if errors.Is(err, syscall.EINTR) {
+				continue
+			}
+			read = max(n, 0)
+			return
+		}
+	})
+	return read
+}
+
 // maxDrainBytes bounds what drain reads: more than a request of the usual size.
 const maxDrainBytes = 64 << 10
 
--- a/gateway/internal/serve/tracked_conn.go
+++ b/gateway/internal/serve/tracked_conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -108,6 +109,11 @@
 		t.awaitHead()
 	}
 	n, err := t.Conn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && t.state.Load() >= connIdle {
+		if arrived := t.readNow(p); arrived > 0 {
+			n, err = arrived, nil
+		}
+	}
 	if n > 0 && t.state.Load() == connIdle {
 		t.state.CompareAndSwap(connIdle, time.Now().UnixNano())
 	}
--- a/gateway/internal/serve/unread_test.go
+++ b/gateway/internal/serve/unread_test.go
@@ -74,3 +74,20 @@
 		})
 	}
 }
+
+// TestRequestAtReadDeadlineIsRead guards against a whole request that gets neither an answer nor a
+// refusal: it arrived while the reader, whose deadline for the head had passed, waited for the processor.
+func TestRequestAtReadDeadlineIsRead(t *testing.T) {
+	is := is.New(t)
+	conns := NewConns(5, noLimit, noLimit)
+	caller, conn := acceptOne(t, conns)
+	const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	_, err := io.WriteString(caller, request)
+	is.NoErr(err)
+	awaitUnread(t, conn)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(-time.Second)))
+	n, err := conn.Read(make([]byte, 100))
+	is.NoErr(err)
+	is.Equal(n, len(request))
+	is.True(conns.HeadRead(conns.ConnContext(t.Context(), conn)))
+}
