--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -87,3 +87,55 @@
 	_, err = net.Dial("tcp", listener.Addr().String())
 	is.True(err != nil)
 }
+
+// suspendedListener is a listener whose accepting goroutine is suspended with each new connection.
+type suspendedListener struct {
+	net.Listener
+	accepted, goOn chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l suspendedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted <- struct{}{}
+		<-l.goOn
+	}
+	return c, err
+}
+
+// TestDrainAnswersConnectionBeingAccepted guards against a request that gets no answer, since the drain
+// ends while the goroutine that has taken its connection from the backlog waits for the processor.
+func TestDrainAnswersConnectionBeingAccepted(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	noLimit := func() time.Duration { return 0 }
+	conns := serve.NewConns(10, noLimit, noLimit)
+	server := program.NewServer(conns.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+	})))
+	server.ConnState = conns.ConnState
+	server.ConnContext = conns.ConnContext
+	suspended := suspendedListener{
+		Listener: listener,
+		accepted: make(chan struct{}),
+		goOn:     make(chan struct{}),
+	}
+	go server.Serve(conns.Listener(suspended))
+	c, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	is.NoErr(err)
+	<-suspended.accepted
+	done := make(chan int)
+	go func() { done <- finish(listener, server, conns, time.Now().Add(10*time.Second)) }()
+	time.Sleep(100 * time.Millisecond) // lets the drain end if it does not wait
+	close(suspended.goOn)
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(<-done, 0)
+}
--- a/gateway/internal/serve/conn_bound.go
+++ b/gateway/internal/serve/conn_bound.go
@@ -30,26 +30,26 @@
 }
 
 // admit reports whether a new connection keeps the bound on descriptors, for which it may give up
-// another one. If not, it refuses what has arrived on the new one and closes it.
+// another one. If not, it refuses what has arrived on the new one and closes it. A connection that is
+// admitted is open, though the server has not reported it yet.
 func (c *Conns) admit(t *trackedConn) bool {
 	c.descriptors.Add(1)
 	c.mu.Lock()
-	beyond := c.beyondBound()
-	if beyond {
+	if c.beyondBound() {
 		c.makeRoom(t)
-	}
-	c.unlockForNew()
-	if beyond {
+		c.unlockForNew()
 		c.mu.Lock()
-		beyond = c.beyondBound()
-		c.mu.Unlock()
 	}
+	beyond := c.beyondBound()
 	if !beyond {
-		return true
+		c.open[t] = nil
+	}
+	c.mu.Unlock()
+	if beyond {
+		t.refuseNew(connlimit.CauseConns)
+		c.closed(t.peer, connlimit.CauseConns)
 	}
-	t.refuseNew(connlimit.CauseConns)
-	c.closed(t.peer, connlimit.CauseConns)
-	return false
+	return !beyond
 }
 
 // refuseNew refuses what has arrived on a connection that nobody reads from yet, and closes it.
--- a/gateway/internal/serve/conns.go
+++ b/gateway/internal/serve/conns.go
@@ -33,6 +33,9 @@
 	idleTimeout func() time.Duration
 	headTimeout func() time.Duration
 
+	// accepting is held while a connection is accepted.
+	accepting sync.Mutex
+
 	mu        sync.Mutex
 	open      map[net.Conn]*list.Element // element of idleConns; nil while not idle
 	idleConns list.List                  // of idleConn, longest idle first
--- a/gateway/internal/serve/listener.go
+++ b/gateway/internal/serve/listener.go
@@ -14,6 +14,8 @@
 
 // Accept implements net.Listener. Connections beyond the bound on descriptors are refused at once.
 func (l trackingListener) Accept() (net.Conn, error) {
+	l.conns.accepting.Lock()
+	defer l.conns.accepting.Unlock()
 	for {
 		c, err := l.Listener.Accept()
 		if err != nil {
@@ -35,7 +37,8 @@
 }
 
 // CloseListener closes a listener after it has refused the requests that wait in the backlog, whose
-// connections the system would reset. The backlog of a listener without a socket is not known.
+// connections the system would reset. The backlog of a listener without a socket is not known. A
+// connection that is being accepted is open when CloseListener returns.
 func (c *Conns) CloseListener(l net.Listener) error {
 	if t, ok := l.(trackingListener); ok {
 		l = t.Listener
@@ -46,7 +49,10 @@
 			newTrackedConn(conn, c).refuseNew(causeDrain)
 		}
 	}
-	return l.Close()
+	err := l.Close()
+	c.accepting.Lock() // until Accept has returned
+	defer c.accepting.Unlock()
+	return err
 }
 
 // acceptNow accepts a connection without waiting. It returns nil if the backlog is empty.
