--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -139,3 +139,42 @@
 	is.Equal(response.StatusCode, http.StatusOK)
 	is.Equal(<-done, 0)
 }
+
+// TestDrainDeadlineRefusesRequestBeingRead guards against requests that end without an answer or a
+// refusal at the deadline of a drain: nobody has begun to handle them.
+func TestDrainDeadlineRefusesRequestBeingRead(t *testing.T) {
+	for name, sent := range map[string]string{
+		"part of a head": "GET / HTTP/1.1\r\nHost: ",
+		"whole request":  "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			noLimit := func() time.Duration { return 0 }
+			conns := serve.NewConns(10, noLimit, noLimit)
+			suspended := make(chan struct{})
+			server := program.NewServer(conns.Handler(http.NotFoundHandler()))
+			server.ConnState = func(c net.Conn, state http.ConnState) {
+				conns.ConnState(c, state)
+				if state == http.StateActive {
+					<-suspended // its goroutine waits for the processor before the handler runs
+				}
+			}
+			server.ConnContext = conns.ConnContext
+			go server.Serve(conns.Listener(listener))
+			c, err := net.Dial("tcp", listener.Addr().String())
+			is.NoErr(err)
+			defer c.Close()
+			_, err = io.WriteString(c, sent)
+			is.NoErr(err)
+			time.Sleep(50 * time.Millisecond) // lets it arrive
+			is.Equal(finish(listener, server, conns, time.Now()), 0)
+			close(suspended)
+			_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+		})
+	}
+}
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -14,7 +14,8 @@
 // finish stops a server whose connections are those of conns. It accepts no more connections, refuses
 // the requests of those that wait to be accepted, closes idle ones, and closes the others once all
 // requests are answered, including those whose heads are still being read, or at the deadline; the zero
-// time means none. It returns the number of connections whose requests it cut off.
+// time means none. At the deadline it refuses the requests that nobody has begun to handle. It returns the
+// number of connections whose requests it cut off.
 // http.Server.Shutdown is not used, since it drops requests that are read after it was called.
 func finish(listener net.Listener, server *http.Server, conns *serve.Conns, deadline time.Time) int {
 	_ = conns.CloseListener(listener) // fails only if it is closed
@@ -23,6 +24,7 @@
 		time.Sleep(drainPollInterval)
 		conns.CloseIdle()
 	}
+	conns.RefuseArriving()
 	cut := conns.Busy()
 	server.Close()
 	return cut
--- a/gateway/internal/serve/give_up.go
+++ b/gateway/internal/serve/give_up.go
@@ -196,3 +196,30 @@
 	c.end(t, cause, connlimit.ReadingHead)
 	return true
 }
+
+// RefuseArriving refuses the requests that nobody has begun to handle, whole or in part, and closes the
+// connections without a request. It is meant for the deadline of a drain, after CloseListener.
+func (c *Conns) RefuseArriving() {
+	c.mu.Lock()
+	for conn := range c.open {
+		if t, ok := conn.(*trackedConn); ok && !c.closeIfIdle(t, causeDrain) && !c.endHead(t, causeDrain) {
+			c.endBody(t, causeDrain)
+		}
+	}
+	for _, t := range c.takeEnding() {
+		t.drain() // the process may end before Close
+		go closeConn(t)
+	}
+}
+
+// endHead refuses a request that the server has not begun to handle, and reports whether there was one; mu
+// must be held.
+func (c *Conns) endHead(t *trackedConn, cause string) bool {
+	for state := t.state.Load(); state >= connIdle; state = t.state.Load() {
+		if t.endHead(state) {
+			c.end(t, cause, connlimit.ReadingHead)
+			return true
+		}
+	}
+	return false
+}
--- a/gateway/internal/serve/unread_test.go
+++ b/gateway/internal/serve/unread_test.go
@@ -91,3 +91,49 @@
 	is.Equal(n, len(request))
 	is.True(conns.HeadRead(conns.ConnContext(t.Context(), conn)))
 }
+
+// TestUnreadRequestsAreRefused guards against requests that end without a refusal at the deadline of a
+// drain, though nobody has begun to handle them: their bodies arrive, or they lie in the buffer of the server.
+func TestUnreadRequestsAreRefused(t *testing.T) {
+	t.Run("body", func(t *testing.T) {
+		is := is.New(t)
+		g, address := newTrackedGateway(t, reply("200 OK", stamp, "yes"))
+		caller := dialRaw(t, address, "POST /book/ HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n12345")
+		onlyConn(t, g)
+		g.handler.Conns().RefuseArriving()
+		is.Equal(readStatus(t, caller), http.StatusServiceUnavailable)
+		is.Equal(g.handler.Conns().Busy(), 0)
+		is.Equal(g.requestCount(), 0)
+	})
+	t.Run("buffer of the server", func(t *testing.T) {
+		is := is.New(t)
+		conns := NewConns(5, noLimit, noLimit)
+		caller, conn := acceptOne(t, conns)
+		ctx := conns.ConnContext(t.Context(), conn)
+		is.True(conns.HeadRead(ctx))
+		conns.ConnState(conn, http.StateIdle) // and another request was read with the first
+		conns.RefuseArriving()
+		is.Equal(readStatus(t, caller), http.StatusServiceUnavailable)
+		is.True(!conns.HeadRead(ctx))
+	})
+	t.Run("nothing", func(t *testing.T) {
+		is := is.New(t)
+		conns := NewConns(5, noLimit, noLimit)
+		caller, _ := acceptOne(t, conns)
+		conns.RefuseArriving()
+		_ = caller.SetReadDeadline(time.Now().Add(10 * time.Second))
+		sent, err := io.ReadAll(caller)
+		is.NoErr(err)
+		is.Equal(len(sent), 0)
+	})
+	t.Run("running", func(t *testing.T) {
+		is := is.New(t)
+		var g *testGateway
+		g, address := newTrackedGateway(t, func(w net.Conn, r *http.Request) bool {
+			g.handler.Conns().RefuseArriving()
+			return reply("200 OK", stamp, "yes")(w, r)
+		})
+		caller := dialRaw(t, address, "POST /book/ HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nxy")
+		is.Equal(readStatus(t, caller), http.StatusOK)
+	})
+}
