--- a/gateway/internal/serve/socket.go
+++ b/gateway/internal/serve/socket.go
@@ -1,14 +1,19 @@
 package serve
 
 import (
+	"crypto/tls"
 	"errors"
+	"net"
 	"syscall"
 	"time"
 )
 
 // socket returns access to the connection's socket, or nil if it has none.
-func (t *trackedConn) socket() syscall.RawConn {
-	socket, ok := t.Conn.(syscall.Conn)
+func (t *trackedConn) socket() syscall.RawConn { return socketOf(t.Conn) }
+
+// socketOf returns access to the socket of c, or nil if it has none.
+func socketOf(c net.Conn) syscall.RawConn {
+	socket, ok := c.(syscall.Conn)
 	if !ok {
 		return nil
 	}
@@ -33,8 +38,21 @@
 
 // peek reports without waiting whether bytes have arrived that were not read, and whether the
 // caller closed or reset the connection and all bytes that it sent before were read.
-func (t *trackedConn) peek() (unread, closed bool) {
-	access := t.socket()
+func (t *trackedConn) peek() (unread, closed bool) { return peekSocket(t.socket()) }
+
+// arriving reports without waiting whether bytes have arrived that were not read, encrypted ones of a
+// connection of TLS, too.
+func (t *trackedConn) arriving() bool {
+	c := t.Conn
+	if encrypted, ok := c.(*tls.Conn); ok {
+		c = encrypted.NetConn()
+	}
+	unread, _ := peekSocket(socketOf(c))
+	return unread
+}
+
+// peekSocket is trackedConn.peek for a socket; nil stands for none.
+func peekSocket(access syscall.RawConn) (unread, closed bool) {
 	if access == nil {
 		return false, false
 	}
--- a/gateway/internal/serve/tracked_conn.go
+++ b/gateway/internal/serve/tracked_conn.go
@@ -246,7 +246,7 @@
 	if t.state.Load() != connIdle || t.buffered.Load() {
 		return false
 	}
-	if unread, _ := t.peek(); unread {
+	if t.arriving() {
 		return false
 	}
 	return t.state.CompareAndSwap(connIdle, connClosing)
--- a/gateway/internal/serve/unread_test.go
+++ b/gateway/internal/serve/unread_test.go
@@ -1,9 +1,11 @@
 package serve
 
 import (
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -12,6 +14,12 @@
 
 // acceptOne returns the two ends of a connection of conns that the server was shown.
 func acceptOne(t *testing.T, conns *Conns) (caller net.Conn, accepted *trackedConn) {
+	t.Helper()
+	return acceptOneOf(t, conns, func(l net.Listener) net.Listener { return l })
+}
+
+// acceptOneOf is acceptOne for a connection that was accepted by what wrap returns for a listener.
+func acceptOneOf(t *testing.T, conns *Conns, wrap func(net.Listener) net.Listener) (caller net.Conn, accepted *trackedConn) {
 	t.Helper()
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -20,7 +28,7 @@
 	caller, err = net.Dial("tcp", listener.Addr().String())
 	is.NoErr(err)
 	t.Cleanup(func() { caller.Close() })
-	c, err := conns.Listener(listener).Accept()
+	c, err := conns.Listener(wrap(listener)).Accept()
 	is.NoErr(err)
 	t.Cleanup(func() { c.Close() })
 	conns.ConnState(c, http.StateNew)
@@ -137,3 +145,45 @@
 		is.Equal(readStatus(t, caller), http.StatusOK)
 	})
 }
+
+// TestUnreadRequestBehindTLSKeepsConnection guards against a whole request that gets no answer at the end
+// of a drain: its connection is closed as idle while it lies encrypted in the kernel.
+func TestUnreadRequestBehindTLSKeepsConnection(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewUnstartedServer(http.NotFoundHandler())
+	server.StartTLS() // for its certificate
+	defer server.Close()
+	conns := NewConns(5, noLimit, noLimit)
+	raw, conn := acceptOneOf(t, conns, func(l net.Listener) net.Listener {
+		return tls.NewListener(l, server.TLS)
+	})
+	caller := tls.Client(raw, &tls.Config{
+		RootCAs:    server.Client().Transport.(*http.Transport).TLSClientConfig.RootCAs,
+		ServerName: "example.com",
+	})
+	sent := make(chan error, 1)
+	const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	go func() {
+		_, err := io.WriteString(caller, request)
+		sent <- err
+	}()
+	ctx := conns.ConnContext(t.Context(), conn)
+	n, err := conn.Read(make([]byte, 100))
+	is.NoErr(err)
+	is.Equal(n, len(request))
+	is.NoErr(<-sent)
+	is.True(conns.HeadRead(ctx))
+	conns.ConnState(conn, http.StateIdle)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(-time.Second)))
+	_, err = conn.Read(make([]byte, 100)) // the server waits for the next request
+	is.True(err != nil)
+	is.NoErr(conn.SetReadDeadline(time.Time{}))
+	_, err = io.WriteString(caller, request)
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond) // lets it arrive
+	conns.CloseIdle()
+	n, err = conn.Read(make([]byte, 100))
+	is.NoErr(err)
+	is.Equal(n, len(request))
+	is.True(conns.HeadRead(ctx))
+}
