--- a/gateway/internal/serve/socket.go
+++ b/gateway/internal/serve/socket.go
@@ -1,13 +1,19 @@
 package serve
 
 import (
+	"crypto/tls"
 	"errors"
+	"net"
 	"syscall"
+	"time"
 )
 
 // socket returns access to the connection's socket, or nil if it has none.
-func (t *trackedConn) socket() syscall.RawConn {
-	socket, ok := t.Conn.(syscall.Conn)
+func (t *trackedConn) socket() syscall.RawConn { return socketOf(t.Conn) }
+
+// socketOf returns access to the socket of c, or nil if it has none.
+func socketOf(c net.Conn) syscall.RawConn {
+	socket, ok := c.(syscall.Conn)
 	if !ok {
 		return nil
 	}
@@ -32,8 +38,21 @@
 
 // peek reports without waiting whether bytes have arrived that were not read, and whether the
 // caller closed or reset the connection and all bytes that it sent before were read.
-func (t *trackedConn) peek() (unread, closed bool) {
-	access := t.socket()
+func (t *trackedConn) peek() (unread, closed bool) { return peekSocket(t.socket()) }
+
+// arriving reports without waiting whether bytes have arrived that were not read, encrypted ones of a
+// connection of TLS, too.
+func (t *trackedConn) arriving() bool {
+	c := t.Conn
+	if encrypted, ok := c.(*tls.Conn); ok {
+		c = encrypted.NetConn()
+	}
+	unread, _ := peekSocket(socketOf(c))
+	return unread
+}
+
+// peekSocket is trackedConn.peek for a socket; nil stands for none.
+func peekSocket(access syscall.RawConn) (unread, closed bool) {
 	if access == nil {
 		return false, false
 	}
@@ -48,6 +67,32 @@
 	return unread, closed
 }
 
+// readNow reads what of a head has arrived, without waiting and after the deadline of reads, too: the
+// reader may have waited for the processor. It returns the number of bytes.
+func (t *trackedConn) readNow(p []byte) int {
+	access := t.socket()
+	if access == nil || len(p) == 0 {
+		return 0
+	}
+	read := 0
+	// An error ends the connection, as the deadline would have.
+	_ = access.Control(func(fd uintptr) {
+		if n, err := peekByte(fd); err != nil || n == 0 {
+			return
+		}
+		t.state.CompareAndSwap(connIdle, time.Now().UnixNano()) // before the bytes are taken, see awaitHead
+		for {
+			n, _, err := syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT)
+			if errors.Is(err, syscall.EINTR) {
+				continue
+			}
+			read = max(n, 0)
+			return
+		}
+	})
+	return read
+}
+
 // maxDrainBytes bounds what drain reads: more than a request of the usual size.
 const maxDrainBytes = 64 << 10
 
