--- /dev/null
+++ b/fleet/connlimit/give_up.go
@@ -0,0 +1,131 @@
+package connlimit
+
+import (
+	"net"
+	"net/netip"
+	"time"
+)
+
+// progress returns how far what the connection holds has come, and since when; Listener.mu must be held.
+func (c *conn) progress(now time.Time) (Phase, time.Time) {
+	since := time.Unix(0, c.since.Load())
+	switch state := c.reader.Load(); {
+	case state == connEnded || c.answersEarly:
+		return Answering, now
+	case c.stalled(now):
+		return Stalled, time.Unix(0, c.lateWrite)
+	case state == awaitsRequest && c.kept.Load():
+		return Idle, since
+	case state == awaitsRequest || state == awaitsHead:
+		return ReadingHead, since
+	case state == awaitsBody || state == awaitsRest:
+		return ReadingBody, since
+	}
+	return Answering, now
+}
+
+// stalled reports whether a write has waited for the peer for longer than stallTime in two looks.
+func (c *conn) stalled(now time.Time) bool {
+	write := c.writeSince.Load()
+	if write == 0 || now.Sub(time.Unix(0, write)) <= stallTime {
+		return false
+	}
+	if c.lateWrite != write {
+		c.lateWrite, c.lateAt = write, now
+	}
+	return now.Sub(c.lateAt) >= stallConfirmTime
+}
+
+// giveUpFirst gives up connections in the order of what they hold, until need is freed, and reports
+// whether it was; mu must be held. It is done for a connection of the peer.
+func (l *Listener) giveUpFirst(cause string, peer netip.Addr, held func(*conn) int64, need int64) bool {
+	now := time.Now()
+	conns := make([]*conn, 0, len(l.open))
+	holders := make([]Holder, 0, len(l.open))
+	for _, c := range l.open {
+		phase, since := c.progress(now)
+		amount := held(c)
+		if c.reader.Load() == connEnded {
+			amount = 0
+		}
+		conns = append(conns, c)
+		holders = append(holders, Holder{
+			Peer:  c.peer,
+			Held:  amount,
+			Phase: phase,
+			Since: since,
+		})
+	}
+	for _, i := range Order(holders) {
+		if need <= 0 {
+			break
+		}
+		if l.giveUp(conns[i], holders[i].Phase, cause, peer) {
+			need -= holders[i].Held
+			l.closed(conns[i].peer, cause)
+		}
+	}
+	return need <= 0
+}
+
+// giveUp gives up a connection in a phase for one of the peer, unless it has left the phase, and
+// reports whether it did; mu must be held. What has arrived of a request is refused. What was not read
+// yet may be a whole request; it is given up only for another peer.
+func (l *Listener) giveUp(c *conn, phase Phase, cause string, peer netip.Addr) bool {
+	if phase == Stalled {
+		if !c.writeSince.CompareAndSwap(c.lateWrite, 0) {
+			return false
+		}
+		c.reader.Store(connEnded)
+		l.end(c)
+		return true
+	}
+	unread, _ := c.socket.Peek()
+	if unread && (c.tls || c.peer == peer) {
+		return false
+	}
+	state := c.reader.Load()
+	switch state {
+	case awaitsRest:
+		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection has ended already
+		c.answersEarly = true
+		return true
+	case awaitsRequest, awaitsHead, awaitsBody:
+		if !c.reader.CompareAndSwap(state, connEnded) {
+			return false
+		}
+	default:
+		return false
+	}
+	if !c.tls && (unread || state != awaitsRequest) {
+		c.socket.Send(l.refusals[cause])
+	}
+	l.end(c)
+	return true
+}
+
+// end ends a connection and has unlock close it; mu must be held. The peer sees the end at once. The
+// server then reports StateClosed.
+func (l *Listener) end(c *conn) {
+	_ = c.CloseWrite() // fails only if the connection has ended already
+	l.ending = append(l.ending, c)
+}
+
+// unlock releases mu and closes the connections that were ended meanwhile. Close waits until a read of
+// the connection has returned, so goroutines call it.
+func (l *Listener) unlock() {
+	for _, c := range l.takeEnding() {
+		go closeConn(c)
+	}
+}
+
+// takeEnding releases mu and returns the connections that were ended meanwhile.
+func (l *Listener) takeEnding() []*conn {
+	defer l.mu.Unlock()
+	ending := l.ending
+	l.ending = nil
+	return ending
+}
+
+// closeConn closes a connection. It may have been closed by its peer.
+func closeConn(c net.Conn) { c.Close() }
