--- a/fleet/connlimit/conn.go
+++ b/fleet/connlimit/conn.go
@@ -80,8 +80,8 @@
 	charged int64
 }
 
-// Read implements net.Conn. It reserves the memory of a head as it arrives, and fails if there
-// is none.
+// Read implements net.Conn. It reserves the memory of a head as it arrives; if there is none, the
+// request is refused.
 func (c *conn) Read(p []byte) (int, error) {
 	if !c.await(len(p)) {
 		return 0, errClosed
@@ -93,7 +93,7 @@
 	c.partial = true
 	if cost := c.head.Add(p[:n]); cost > c.charged {
 		if !c.listener.reserve(c, cost-c.charged) {
-			c.listener.closed(c.peer, CauseMemory)
+			c.refuse(CauseMemory)
 			return 0, errClosed
 		}
 		c.charged = cost
@@ -154,6 +154,14 @@
 	return n, err
 }
 
+// refuse ends the connection with a refusal, which the peer gets at once; the server closes it.
+func (c *conn) refuse(cause string) {
+	c.reader.Store(connEnded)
+	c.socket.Send(c.listener.refusals[cause])
+	_ = c.CloseWrite() // fails only if the connection has ended already
+	c.listener.closed(c.peer, cause)
+}
+
 // CloseWrite closes the writing side of the connection if it can be closed separately.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/fleet/connlimit/listener_test.go
+++ b/fleet/connlimit/listener_test.go
@@ -105,8 +105,8 @@
 	is.True(s.listener.Open() <= most+1) // one may be closing
 }
 
-// TestManyFieldsAreBounded sends heads of many fields, of which the memory has room for one. An
-// ordinary request is served meanwhile, and a single one of many fields as well.
+// TestManyFieldsAreBounded sends heads of many fields, of which the memory has room for one; another
+// is refused. An ordinary request is served meanwhile, and a single one of many fields as well.
 func TestManyFieldsAreBounded(t *testing.T) {
 	is := is.New(t)
 	s := newTestServer(t, Limits{
@@ -123,7 +123,8 @@
 		time.Sleep(time.Millisecond)
 	}
 	second := s.dial(t, "127.0.0.2", text)
-	is.Equal(status(second), 0)
+	is.Equal(status(second), http.StatusServiceUnavailable)
+	is.True(closed(second))
 	ordinary := s.dial(t, "127.0.0.3", "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	is.Equal(status(ordinary), http.StatusOK)
 	_, err := io.WriteString(first, "x")
