--- a/fleet/connlimit/conn.go
+++ b/fleet/connlimit/conn.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -66,7 +67,9 @@
 	// since is when the connection was accepted or became idle, and writeSince when a write began, zero
 	// while there is none, in Unix nanoseconds.
 	since, writeSince atomic.Int64
-	closed            atomic.Bool
+	closing           sync.Once
+	closeError        error
+	counted           atomic.Bool // in Listener.held
 	kept              atomic.Bool // a request was answered on it
 	// lateWrite is the writeSince of a write that was late at lateAt, and answersEarly is true if the
 	// rest of a body was given up; Listener.mu guards them.
@@ -154,10 +157,12 @@
 	return n, err
 }
 
-// refuse ends the connection with a refusal, which the peer gets at once; the server closes it.
+// refuse ends the connection. If anything has arrived, it is refused at once.
 func (c *conn) refuse(cause string) {
 	c.reader.Store(connEnded)
-	c.socket.Send(c.listener.refusals[cause])
+	if unread, _ := c.socket.Peek(); !c.tls && (unread || c.partial) {
+		c.socket.Send(c.listener.refusals[cause])
+	}
 	_ = c.CloseWrite() // fails only if the connection has ended already
 	c.listener.closed(c.peer, cause)
 }
@@ -170,15 +175,23 @@
 	return nil
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. When it returns, the descriptor is free.
 func (c *conn) Close() error {
-	if !c.closed.CompareAndSwap(false, true) {
-		return nil
-	}
-	if c.reader.Load() == connEnded {
-		c.socket.Drain()
+	c.closing.Do(func() {
+		if c.reader.Load() == connEnded {
+			c.socket.Drain()
+		}
+		c.closeError = c.Conn.Close()
+		c.uncount()
+	})
+	return c.closeError
+}
+
+// uncount records that the connection holds no descriptor of the Listener.
+func (c *conn) uncount() {
+	if c.counted.CompareAndSwap(true, false) {
+		c.listener.held.Add(-1)
 	}
-	return c.Conn.Close()
 }
 
 // release returns what the connection holds.
--- a/fleet/connlimit/give_up.go
+++ b/fleet/connlimit/give_up.go
@@ -36,6 +36,10 @@
 	return now.Sub(c.lateAt) >= stallConfirmTime
 }
 
+// maxLooks is the number of connections that are looked at without giving them up. Each look is a system
+// call, and new connections wait meanwhile.
+const maxLooks = 8
+
 // giveUpFirst gives up connections in the order of what they hold, until need is freed, and reports
 // whether it was; mu must be held. It is done for a connection of the peer.
 func (l *Listener) giveUpFirst(cause string, peer netip.Addr, held func(*conn) int64, need int64) bool {
@@ -56,14 +60,17 @@
 			Since: since,
 		})
 	}
+	looks := maxLooks
 	for _, i := range Order(holders) {
-		if need <= 0 {
+		if need <= 0 || looks == 0 {
 			break
 		}
-		if l.giveUp(conns[i], holders[i].Phase, cause, peer) {
-			need -= holders[i].Held
-			l.closed(conns[i].peer, cause)
+		if !l.giveUp(conns[i], holders[i].Phase, cause, peer) {
+			looks--
+			continue
 		}
+		need -= holders[i].Held
+		l.closed(conns[i].peer, cause)
 	}
 	return need <= 0
 }
@@ -119,6 +126,14 @@
 	}
 }
 
+// unlockForNew is unlock for the goroutine that accepts connections. A reader or writer that waits for
+// the peer returns at once, and the descriptor is free before another connection is accepted.
+func (l *Listener) unlockForNew() {
+	for _, c := range l.takeEnding() {
+		closeConn(c)
+	}
+}
+
 // takeEnding releases mu and returns the connections that were ended meanwhile.
 func (l *Listener) takeEnding() []*conn {
 	defer l.mu.Unlock()
--- a/fleet/connlimit/give_up_test.go
+++ b/fleet/connlimit/give_up_test.go
@@ -114,7 +114,7 @@
 	caller := dial("GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
 	<-begun
 	is.True(closed(kept))
-	dial("")
+	is.True(closed(dial("")))
 	close(release)
 	is.Equal(status(caller), http.StatusOK)
 }
@@ -299,6 +299,77 @@
 	}
 }
 
+// TestClientBeyondLimitIsRefused guards against more connections than the process has descriptors for,
+// and against a client beyond the limit that gets neither an answer nor a close.
+func TestClientBeyondLimitIsRefused(t *testing.T) {
+	is := is.New(t)
+	const most = 3
+	begun, release := make(chan struct{}, most), make(chan struct{})
+	s := newHandlerServer(t, Limits{
+		Conns:     most,
+		HeldBytes: 1 << 20,
+	}, func(http.ResponseWriter, *http.Request) {
+		begun <- struct{}{}
+		<-release
+	})
+	callers := make([]net.Conn, 0, most)
+	for range most {
+		callers = append(callers, s.dial(t, crowdHost, whole))
+		<-begun
+	}
+	for range 10 {
+		is.True(closed(s.dial(t, otherHost, "")))
+		is.True(s.listener.Open() <= most+1) // one may be about to be refused
+	}
+	close(release)
+	for _, caller := range callers {
+		is.Equal(status(caller), http.StatusOK)
+	}
+}
+
+// TestWaitingRequestBeyondLimitIsRefused guards against the close of a new connection beyond the limit
+// without an answer to the request that has arrived on it.
+func TestWaitingRequestBeyondLimitIsRefused(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := NewListener(listener, Limits{}, nil)
+	s := &testServer{
+		address: listener.Addr().String(),
+	}
+	caller := s.dial(t, otherHost, whole)
+	time.Sleep(20 * time.Millisecond) // lets the request arrive
+	go func() {
+		_, _ = l.Accept() // until the listener is closed
+	}()
+	defer listener.Close()
+	is.Equal(status(caller), http.StatusServiceUnavailable)
+	is.True(closed(caller))
+	for end := time.Now().Add(10 * time.Second); l.Open() != 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond) // the descriptor is free after the client gets the end
+	}
+	is.Equal(l.Open(), 0)
+}
+
+// TestGivenUpConnectionFreesDescriptor guards against descriptors that are held after connections were
+// given up: the limit then keeps clients out, or is passed.
+func TestGivenUpConnectionFreesDescriptor(t *testing.T) {
+	is := is.New(t)
+	const most = 5
+	s := newTestServer(t, Limits{
+		Conns:     most,
+		HeldBytes: 1 << 20,
+	})
+	first := s.dial(t, otherHost, whole)
+	is.Equal(status(first), http.StatusOK)
+	for range 200 {
+		caller := s.dial(t, crowdHost, whole)
+		is.Equal(status(caller), http.StatusOK)
+		s.awaitReader(t, 1, awaitsRequest)
+		is.True(s.listener.Open() <= most)
+	}
+}
+
 // TestStalledAnswerGivesWay guards against callers that keep others out by not reading their answers,
 // and against the end of an answer that is being read.
 func TestStalledAnswerGivesWay(t *testing.T) {
--- a/fleet/connlimit/listener.go
+++ b/fleet/connlimit/listener.go
@@ -30,7 +30,10 @@
 	// refusals are the answers to requests whose connections are ended, by cause.
 	refusals map[string][]byte
 
-	used atomic.Int64
+	used atomic.Int64 // of HeldBytes
+	// held is the number of connections that were accepted and are neither closed nor hijacked. Those that
+	// were given up count until their descriptors are free.
+	held atomic.Int64
 
 	mu   sync.Mutex
 	open map[net.Conn]*conn // by what Accept returned
@@ -84,20 +87,40 @@
 	})
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. Connections beyond the limit are refused at once.
 func (l *Listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c, returned := l.newConn(accepted)
+		if l.admit(c, returned) {
+			return returned, nil
+		}
 	}
-	c, returned := l.newConn(accepted)
+}
+
+// admit reports whether a new connection keeps the limit, for which it may give up another one. If
+// not, it refuses what has arrived on the new one and closes it. One goroutine accepts connections.
+func (l *Listener) admit(c *conn, returned net.Conn) bool {
 	l.mu.Lock()
 	l.open[returned] = c
-	if len(l.open) > l.limits.Conns {
+	if l.held.Add(1) > int64(l.limits.Conns) {
 		l.giveUpFirst(CauseConns, c.peer, func(*conn) int64 { return 1 }, 1)
 	}
-	l.unlock()
-	return returned, nil
+	l.unlockForNew()
+	if l.held.Load() <= int64(l.limits.Conns) && c.reader.Load() != connEnded {
+		return true
+	}
+	l.mu.Lock()
+	delete(l.open, returned)
+	l.mu.Unlock()
+	if c.reader.Load() != connEnded {
+		c.refuse(CauseConns)
+	}
+	closeConn(c)
+	return false
 }
 
 // newConn returns the conn of an accepted connection, and what the server gets. The server needs
@@ -116,6 +139,7 @@
 		tls:      ok,
 	}
 	c.reader.Store(awaitsRequest)
+	c.counted.Store(true)
 	c.since.Store(time.Now().UnixNano())
 	if ok {
 		return c, accepted
@@ -124,11 +148,7 @@
 }
 
 // Open returns the number of open connections that count.
-func (l *Listener) Open() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.open)
-}
+func (l *Listener) Open() int { return int(l.held.Load()) }
 
 // connState records the change of a connection's state.
 func (l *Listener) connState(returned net.Conn, state http.ConnState) {
@@ -159,7 +179,9 @@
 	case http.StateHijacked:
 		c.phase.Store(phaseHijacked)
 		c.release()
+		c.uncount()
 	case http.StateClosed:
 		c.release()
+		c.uncount() // with TLS the server has closed what is below it
 	}
 }
--- a/fleet/connlimit/listener_test.go
+++ b/fleet/connlimit/listener_test.go
@@ -94,8 +94,9 @@
 		Conns:     most,
 		HeldBytes: 1 << 20,
 	})
-	var crowd []net.Conn
-	for range 3 * most {
+	crowd := []net.Conn{s.dial(t, "127.0.0.2", "GET / HTTP/1.1\r\n")}
+	s.awaitReader(t, 1, awaitsHead) // what is not read yet may be a whole request and is kept
+	for range 3*most - 1 {
 		crowd = append(crowd, s.dial(t, "127.0.0.2", "GET / HTTP/1.1\r\n"))
 	}
 	ordinary := s.dial(t, "127.0.0.3", "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
