--- a/gateway/internal/serve/conn_refusal.go
+++ b/gateway/internal/serve/conn_refusal.go
@@ -1,9 +1,6 @@
 package serve
 
 import (
-	"bytes"
-	"encoding/json"
-	"io"
 	"net/http"
 
 	"baobabpaddle/fleet/connlimit"
@@ -14,7 +11,6 @@
 // closes for the cause. Its Retry-After has the given value, unless the request was late.
 func newConnRefusal(cause, retryAfter string) []byte {
 	var p *problem.Problem
-	header := make(http.Header)
 	switch cause {
 	case causeLateHead:
 		p = problem.NewNotRun(http.StatusRequestTimeout, problem.HeadTruncated, "the head did not come in time")
@@ -27,24 +23,8 @@
 	default:
 		p = problem.NewNotRun(http.StatusServiceUnavailable, problem.NotReady, "the connection is being closed")
 	}
-	if p.Status == http.StatusServiceUnavailable {
-		header.Set("Retry-After", retryAfter)
+	if p.Status != http.StatusServiceUnavailable {
+		retryAfter = ""
 	}
-	header.Set("Content-Type", problem.ContentType)
-	body, err := json.Marshal(p)
-	if err != nil {
-		body = nil // the status is left
-	}
-	response := http.Response{
-		StatusCode:    p.Status,
-		ProtoMajor:    1,
-		ProtoMinor:    1,
-		Header:        header,
-		Body:          io.NopCloser(bytes.NewReader(body)),
-		ContentLength: int64(len(body)),
-		Close:         true,
-	}
-	var out bytes.Buffer
-	_ = response.Write(&out) // a buffer takes it
-	return out.Bytes()
+	return connlimit.Refusal(p, retryAfter)
 }
--- a/gateway/internal/serve/taken_test.go
+++ b/gateway/internal/serve/taken_test.go
@@ -178,7 +178,7 @@
 			_, err = io.WriteString(caller, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx")
 			is.NoErr(err)
 			for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-				if unread, _ := conn.peek(); unread {
+				if unread, _ := conn.socket().Peek(); unread {
 					break
 				}
 			}
--- a/gateway/internal/serve/tracked_conn.go
+++ b/gateway/internal/serve/tracked_conn.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"baobabpaddle/fleet/connlimit"
@@ -116,22 +114,17 @@
 	return n, err
 }
 
+// socket returns the connection's socket.
+func (t *trackedConn) socket() connlimit.Socket { return connlimit.NewSocket(t.Conn) }
+
 // awaitHead waits until bytes of a head have arrived and records that before they are taken from the
 // kernel, where endIdle looks for them. It does nothing if the connection has no socket.
 func (t *trackedConn) awaitHead() {
-	access := t.socket()
-	if access == nil {
-		return
-	}
-	// An error here is that of the read that follows, too.
-	_ = access.Read(func(fd uintptr) bool {
-		n, err := peekByte(fd)
-		if n > 0 {
+	t.socket().Await(func(arrived, waits bool) {
+		if arrived {
 			t.state.CompareAndSwap(connIdle, time.Now().UnixNano())
 		}
-		none := errors.Is(err, syscall.EAGAIN)
-		t.waiting.Store(none)
-		return !none
+		t.waiting.Store(waits)
 	})
 	t.waiting.Store(false)
 }
@@ -185,7 +178,7 @@
 // closedByCaller reports whether the caller closed or reset the connection and all bytes
 // that it sent before were read.
 func (t *trackedConn) closedByCaller() bool {
-	_, closed := t.peek()
+	_, closed := t.socket().Peek()
 	return closed
 }
 
@@ -230,7 +223,7 @@
 	if t.state.Load() != connIdle {
 		return false
 	}
-	if unread, _ := t.peek(); unread {
+	if unread, _ := t.socket().Peek(); unread {
 		return false
 	}
 	return t.state.CompareAndSwap(connIdle, connClosing)
@@ -239,13 +232,13 @@
 // headIncomplete reports whether more of the head that is being read has to arrive. Of a connection
 // without a socket it is not known, and the head counts as incomplete.
 func (t *trackedConn) headIncomplete() bool {
-	if t.socket() == nil {
+	if !t.socket().Known() {
 		return true
 	}
 	if !t.waiting.Load() {
 		return false
 	}
-	unread, _ := t.peek()
+	unread, _ := t.socket().Peek()
 	return !unread
 }
 
@@ -264,8 +257,8 @@
 		phase: phase,
 		at:    time.Now(),
 	})
-	if unread, _ := t.peek(); t.conns != nil && (phase == connlimit.ReadingHead || phase == connlimit.ReadingBody || phase == connlimit.Idle && unread) {
-		t.sendNow(t.conns.refusal(cause))
+	if unread, _ := t.socket().Peek(); t.conns != nil && (phase == connlimit.ReadingHead || phase == connlimit.ReadingBody || phase == connlimit.Idle && unread) {
+		t.socket().Send(t.conns.refusal(cause))
 	}
 	_ = t.CloseWrite() // fails only if the connection has ended already
 }
@@ -276,7 +269,7 @@
 		return nil
 	}
 	if t.state.Load() == connClosing {
-		t.drain()
+		t.socket().Drain()
 	}
 	err := t.Conn.Close()
 	if t.conns != nil {
