--- a/gateway/internal/serve/starved_test.go
+++ b/gateway/internal/serve/starved_test.go
@@ -20,13 +20,17 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"baobabpaddle/fleet/connlimit"
 )
 
 // The processes of the tests on a host that is short of processor time.
 const (
 	// starvedVariable is set in the process of a starved server to its idle limits in milliseconds,
-	// separated by commas, which apply in turn for a second each.
+	// separated by commas, which apply in turn for a second each, or to otherPort.
 	starvedVariable = "BAOBABPADDLE_TEST_IDLE_LIMITS_MS"
+	// otherPort is for a server with a connlimit.Listener, as at the ports that callers don't use.
+	otherPort = "other"
 	// busyGoroutines use the only processor of a starved server.
 	busyGoroutines = 12
 	// starvedMaxOpen is its limit of connections.
@@ -35,7 +39,7 @@
 
 func TestMain(m *testing.M) {
 	if limits := os.Getenv(starvedVariable); limits != "" {
-		if err := serveStarved(strings.Split(limits, ",")); err != nil {
+		if err := serveStarved(limits); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
@@ -46,37 +50,27 @@
 
 // serveStarved serves requests on one processor that others use, until the standard input ends. It
 // prints its address.
-func serveStarved(idleMillis []string) error {
+func serveStarved(limits string) error {
 	runtime.GOMAXPROCS(1)
-	idle := make([]time.Duration, 0, len(idleMillis))
-	for _, s := range idleMillis {
-		n, err := strconv.Atoi(s)
-		if err != nil {
-			return err
-		}
-		idle = append(idle, time.Duration(n)*time.Millisecond)
-	}
-	started := time.Now()
-	conns := NewConns(starvedMaxOpen, func() time.Duration {
-		return idle[int(time.Since(started)/time.Second)%len(idle)]
-	}, noLimit)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
 	server := &http.Server{
-		Handler: conns.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(w, r.Body) // the caller may have left
-		})),
-		ConnState:   conns.ConnState,
-		ConnContext: conns.ConnContext,
+		}),
+	}
+	if limits == otherPort {
+		limited := connlimit.NewListener(l, connlimit.Limits{
+			Conns:     starvedMaxOpen,
+			HeldBytes: 1 << 20,
+		}, nil)
+		limited.Attach(server)
+		go server.Serve(limited)
+	} else if err := serveCallers(server, l, strings.Split(limits, ",")); err != nil {
+		return err
 	}
-	go server.Serve(conns.Listener(l))
-	go func() {
-		for ; ; time.Sleep(connScanInterval) {
-			conns.prune(time.Now())
-		}
-	}()
 	var sum atomic.Int64
 	for i := range busyGoroutines {
 		go func() {
@@ -92,6 +86,32 @@
 	return nil
 }
 
+// serveCallers has the server serve callers with idle limits in milliseconds.
+func serveCallers(server *http.Server, l net.Listener, idleMillis []string) error {
+	idle := make([]time.Duration, 0, len(idleMillis))
+	for _, s := range idleMillis {
+		n, err := strconv.Atoi(s)
+		if err != nil {
+			return err
+		}
+		idle = append(idle, time.Duration(n)*time.Millisecond)
+	}
+	started := time.Now()
+	conns := NewConns(starvedMaxOpen, func() time.Duration {
+		return idle[int(time.Since(started)/time.Second)%len(idle)]
+	}, noLimit)
+	server.Handler = conns.Handler(server.Handler)
+	server.ConnState = conns.ConnState
+	server.ConnContext = conns.ConnContext
+	go server.Serve(conns.Listener(l))
+	go func() {
+		for ; ; time.Sleep(connScanInterval) {
+			conns.prune(time.Now())
+		}
+	}()
+	return nil
+}
+
 // crowdCounts is what a crowd of callers got.
 type crowdCounts struct {
 	answered, refused atomic.Int64
@@ -180,7 +200,8 @@
 
 // TestCrowdAtConnectionLimit guards against requests that arrive whole and get neither an answer nor
 // a refusal: more callers than a starved server may have connections, alone and while its idle limit
-// changes, were closed long after their requests or left in the backlog of the listener.
+// changes, were closed long after their requests or left in the backlog of the listener. At the ports
+// that callers don't use, they were closed late, too.
 func TestCrowdAtConnectionLimit(t *testing.T) {
 	const callers = 400
 	duration := 4 * time.Second
@@ -192,6 +213,7 @@
 	for name, idleMillis := range map[string]string{
 		"one idle limit":          "60000",
 		"idle limit that changes": "60000,300",
+		"other port":              otherPort,
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
