--- a/fleet/connlimit/conn.go
+++ b/fleet/connlimit/conn.go
@@ -25,7 +25,7 @@
 	connEnded
 )
 
-// phases of the requests on a conn.
+// Phases of the requests on a conn.
 const (
 	phaseHead int32 = iota
 	phaseAnswering
@@ -71,6 +71,7 @@
 	closeError        error
 	counted           atomic.Bool // in Listener.held
 	kept              atomic.Bool // a request was answered on it
+	yields            atomic.Bool // it is closed after the next answer
 	// lateWrite is the writeSince of a write that was late at lateAt, and answersEarly is true if the
 	// rest of a body was given up; Listener.mu guards them.
 	lateWrite    int64
@@ -178,7 +179,7 @@
 // Close implements net.Conn. When it returns, the descriptor is free.
 func (c *conn) Close() error {
 	c.closing.Do(func() {
-		if c.reader.Load() == connEnded {
+		if c.reader.Load() == connEnded || c.yields.Load() {
 			c.socket.Drain()
 		}
 		c.closeError = c.Conn.Close()
--- a/fleet/connlimit/give_up.go
+++ b/fleet/connlimit/give_up.go
@@ -1,6 +1,7 @@
 package connlimit
 
 import (
+	"math"
 	"net"
 	"net/netip"
 	"time"
@@ -111,6 +112,34 @@
 	return true
 }
 
+// overLimitFraction is the part of Limits.Conns by which connections may exceed it while others yield.
+const overLimitFraction = 0.1
+
+// yield has a connection end after its next answer, for one of a peer that holds fewer, and reports
+// whether there is one and the limit may be exceeded meanwhile; mu must be held. Connections whose
+// requests follow each other without a pause are never given up.
+func (l *Listener) yield(peer netip.Addr) bool {
+	if float64(l.held.Load()) > math.Ceil((1+overLimitFraction)*float64(l.limits.Conns)) {
+		return false
+	}
+	total := make(map[netip.Addr]int)
+	for _, c := range l.open {
+		total[c.peer]++
+	}
+	var most *conn
+	for _, c := range l.open {
+		if !c.tls && !c.yields.Load() && total[c.peer] > total[peer] && (most == nil || total[c.peer] > total[most.peer]) {
+			most = c
+		}
+	}
+	if most == nil {
+		return false
+	}
+	most.yields.Store(true)
+	l.closed(most.peer, CauseConns)
+	return true
+}
+
 // end ends a connection and has unlock close it; mu must be held. The peer sees the end at once. The
 // server then reports StateClosed.
 func (l *Listener) end(c *conn) {
--- a/fleet/connlimit/listener.go
+++ b/fleet/connlimit/listener.go
@@ -77,12 +77,16 @@
 		next = http.DefaultServeMux
 	}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok && r.Body != http.NoBody {
+		c, ok := r.Context().Value(connKey{}).(*conn)
+		if ok && r.Body != http.NoBody {
 			r.Body = body{
 				ReadCloser: r.Body,
 				conn:       c,
 			}
 		}
+		if ok && c.yields.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -107,13 +111,19 @@
 	l.mu.Lock()
 	l.open[returned] = c
 	if l.held.Add(1) > int64(l.limits.Conns) {
-		l.giveUpFirst(CauseConns, c.peer, func(*conn) int64 { return 1 }, 1)
+		l.giveUpFirst(CauseConns, c.peer, func(o *conn) int64 {
+			if o == c {
+				return 0
+			}
+			return 1
+		}, 1)
 	}
 	l.unlockForNew()
-	if l.held.Load() <= int64(l.limits.Conns) && c.reader.Load() != connEnded {
+	l.mu.Lock()
+	if c.reader.Load() != connEnded && (l.held.Load() <= int64(l.limits.Conns) || l.yield(c.peer)) {
+		l.mu.Unlock()
 		return true
 	}
-	l.mu.Lock()
 	delete(l.open, returned)
 	l.mu.Unlock()
 	if c.reader.Load() != connEnded {
