--- a/gateway/internal/serve/conns.go
+++ b/gateway/internal/serve/conns.go
@@ -44,10 +44,11 @@
 	// dropped is called when a request, or a part of one, is dropped, since its connection is being
 	// closed.
 	dropped func(peer netip.Addr, d closeDecision)
-	// refusals are the answers to requests whose connections are closed, by cause, and refused is
-	// called for each that is sent.
-	refusals map[string][]byte
+	// refusals are the answers to requests whose connections are closed, by cause, which are sent in
+	// turn, and refused is called for each that is sent.
+	refusals map[string][][]byte
 	refused  func(cause string)
+	sent     atomic.Uint64 // refusals
 	// reserve reserves memory for a head that arrives on a connection, and release returns it.
 	reserve func(t *trackedConn, n int64) bool
 	release func(t *trackedConn, n int64)
@@ -92,7 +93,7 @@
 		reserve:     func(*trackedConn, int64) bool { return true },
 		release:     func(*trackedConn, int64) {},
 	}
-	c.setRefusals(defaultRetryAfter)
+	c.setRefusals([]string{defaultRetryAfter}, defaultRetryAfter)
 	return c
 }
 
--- a/gateway/internal/serve/give_up_test.go
+++ b/gateway/internal/serve/give_up_test.go
@@ -1,9 +1,12 @@
 package serve
 
 import (
+	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -213,3 +216,23 @@
 		is.True(conns.descriptors.Load() <= 22)
 	}
 }
+
+// TestRefusedConnectionsReturnApart guards against callers that return to a gateway at its limit at once,
+// or all at the same time, and use the processor time that it lacks.
+func TestRefusedConnectionsReturnApart(t *testing.T) {
+	is := is.New(t)
+	g := newTestGateway(t)
+	conns := g.handler.Conns()
+	delays := make(map[string]bool)
+	for range retryDelays {
+		response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(conns.refusal(connlimit.CauseConns))), nil)
+		is.NoErr(err)
+		after := response.Header.Get("Retry-After")
+		seconds, err := strconv.ParseFloat(after, 64)
+		is.NoErr(err)
+		is.True(seconds >= 2*shedRetryAfter.Seconds() && seconds <= unreadTimeLeft.Seconds())
+		delays[after] = true
+		response.Body.Close()
+	}
+	is.Equal(len(delays), retryDelays)
+}
--- a/gateway/internal/serve/held.go
+++ b/gateway/internal/serve/held.go
@@ -50,7 +50,7 @@
 	h.conns.closed = program.ReportClosed("callers", metrics, h.log)
 	h.conns.dropped = reportDropped(metrics, h.log)
 	h.conns.reserve, h.conns.release = h.reserve, h.release
-	h.conns.setRefusals(h.protocol.RetryAfter(shedRetryAfter))
+	h.conns.setRefusals(h.connRetryAfter(), h.protocol.RetryAfter(drainRetryAfter))
 	h.conns.refused = func(cause string) { h.counters.countRefusal("connection_" + cause) }
 }
 
--- a/gateway/internal/serve/tracked_conn.go
+++ b/gateway/internal/serve/tracked_conn.go
@@ -288,7 +288,7 @@
 	t.ending.Do(func() {
 		d := t.decision.Load()
 		if t.refusable(d.phase) {
-			t.sendNow(t.conns.refusals[d.cause])
+			t.sendNow(t.conns.refusal(d.cause))
 			t.conns.refused(d.cause)
 		}
 		_ = t.CloseWrite() // fails only if the connection has ended already
