--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -178,3 +178,36 @@
 		})
 	}
 }
+
+// TestDrainDeadlineSendsRefusal guards against a refusal that its caller doesn't get, since it waits for
+// the rest of the request's body at the deadline of a drain.
+func TestDrainDeadlineSendsRefusal(t *testing.T) {
+	is := is.New(t)
+	cred, err := credential.Load(credential.Settings{
+		PrivateNetwork: true,
+	}, credential.Peer{
+		Role: credential.Gateway,
+	})
+	is.NoErr(err)
+	p := newServeComponents(ServeSettings{
+		RetryWindowSeconds: 1,
+	}, cred, slog.New(slog.DiscardHandler))
+	server := program.NewServer(p.handler)
+	server.ConnState = p.handler.Conns().ConnState
+	server.ConnContext = p.handler.Conns().ConnContext
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go server.Serve(p.handler.Conns().Listener(listener))
+	c, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n12345")
+	is.NoErr(err)
+	time.Sleep(100 * time.Millisecond) // lets the request be refused
+	finish(listener, server, p.handler.Conns(), time.Now())
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	response.Body.Close()
+}
