--- a/gateway/internal/serve/give_up.go
+++ b/gateway/internal/serve/give_up.go
@@ -99,7 +99,8 @@
 // new connection would take most of the processor time of a small host beyond the limit.
 const orderLifetime = 50 * time.Millisecond
 
-// cheapOrder is the number of connections up to which they are ordered anew each time.
+// cheapOrder is the number of connections up to which they are ordered each time, unless the last order
+// has none left to give up: answers wait for the lock meanwhile.
 const cheapOrder = 256
 
 // ordered is a connection that may be given up as long as it is in the phase.
@@ -112,7 +113,7 @@
 // and reports whether there was one; mu must be held.
 func (c *Conns) giveUpOne(added net.Conn) bool {
 	now := time.Now()
-	if len(c.open) <= cheapOrder || now.Sub(c.orderedAt) > orderLifetime {
+	if len(c.open) <= cheapOrder && len(c.toGiveUp) > 0 || now.Sub(c.orderedAt) > orderLifetime {
 		c.order(now)
 	}
 	for len(c.toGiveUp) > 0 {
--- a/gateway/internal/serve/listener.go
+++ b/gateway/internal/serve/listener.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"os"
+	"runtime"
 	"syscall"
 )
 
@@ -12,11 +13,15 @@
 	conns *Conns
 }
 
-// Accept implements net.Listener. Connections beyond the bound on descriptors are refused at once.
+// refusalsPerTurn is the number of connections that are refused in a row before other goroutines run.
+const refusalsPerTurn = 64
+
+// Accept implements net.Listener. Connections beyond the bound on descriptors are refused at once, and
+// the answers that make room for more have a turn of the processor in between.
 func (l trackingListener) Accept() (net.Conn, error) {
 	l.conns.accepting.Lock()
 	defer l.conns.accepting.Unlock()
-	for {
+	for refused := 1; ; refused++ {
 		c, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
@@ -24,6 +29,9 @@
 		if t := newTrackedConn(c, l.conns); l.conns.admit(t) {
 			return t, nil
 		}
+		if refused%refusalsPerTurn == 0 {
+			runtime.Gosched()
+		}
 	}
 }
 
--- a/gateway/internal/serve/starved_test.go
+++ b/gateway/internal/serve/starved_test.go
@@ -40,6 +40,13 @@
 		}
 		return
 	}
+	if address := os.Getenv(crowdedVariable); address != "" {
+		if err := serveCrowdedGateway(address); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	if address := os.Getenv(starvedUpstreamVariable); address != "" {
 		if err := serveStarvedGateway(address); err != nil {
 			fmt.Fprintln(os.Stderr, err)
