--- a/gateway/internal/serve/conn_bound.go
+++ b/gateway/internal/serve/conn_bound.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net"
+	"time"
 
 	"baobabpaddle/fleet/connlimit"
 )
@@ -11,6 +12,9 @@
 // them can be given up, or while those that were given up are being closed.
 const overLimitFraction = 0.1
 
+// fullTime is how long the limit counts as reached after a connection found no room.
+const fullTime = time.Second
+
 // beyondBound reports whether more connections of Listener are not closed than allowed; mu must be
 // held.
 func (c *Conns) beyondBound() bool {
@@ -46,12 +50,17 @@
 	}
 	c.mu.Unlock()
 	if beyond {
+		c.fullUntil.Store(time.Now().Add(fullTime).UnixNano())
 		t.refuseNew(connlimit.CauseConns)
 		c.closed(t.peer, connlimit.CauseConns)
 	}
 	return !beyond
 }
 
+// Full reports whether a connection found no room within fullTime before now. Answers then close theirs: it
+// would be given up for the next caller, and a request that crosses that gets no answer.
+func (c *Conns) Full(now time.Time) bool { return now.UnixNano() < c.fullUntil.Load() }
+
 // refuseNew refuses what has arrived on a connection that nobody reads from yet, and closes it.
 func (t *trackedConn) refuseNew(cause string) {
 	t.state.Store(connClosing)
--- a/gateway/internal/serve/conns.go
+++ b/gateway/internal/serve/conns.go
@@ -59,6 +59,8 @@
 	ending []*trackedConn
 	// descriptors is the number of connections of Listener that are not closed.
 	descriptors atomic.Int64
+	// fullUntil is until when the limit counts as reached, in Unix nanoseconds.
+	fullUntil atomic.Int64
 	// closing is true after CloseIdle: connections that nothing arrives on are closed.
 	closing bool
 	// callers are those whose requests run.
--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -229,7 +229,7 @@
 	}
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
-	if h.drainEnd.Load() != 0 || h.load.Overloaded() {
+	if h.drainEnd.Load() != 0 || h.load.Overloaded() || h.conns.Full(arrived) {
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{
