--- a/gateway/internal/serve/conn_bound.go
+++ b/gateway/internal/serve/conn_bound.go
@@ -34,27 +34,68 @@
 }
 
 // admit reports whether a new connection keeps the bound on descriptors, for which it may give up
-// another one. If not, it refuses what has arrived on the new one and closes it. A connection that is
-// admitted is open, though the server has not reported it yet.
+// another one or wait until one is closed. If not, it refuses what has arrived on the new one and closes
+// it. A connection that is admitted is open, though the server has not reported it yet. accepting must be
+// held.
 func (c *Conns) admit(t *trackedConn) bool {
 	c.descriptors.Add(1)
+	for !c.takeRoom(t) {
+		c.fullUntil.Store(time.Now().Add(fullTime).UnixNano())
+		if !c.awaitRoom() {
+			t.refuseNew(connlimit.CauseConns)
+			c.closed(t.peer, connlimit.CauseConns)
+			return false
+		}
+	}
+	return true
+}
+
+// takeRoom reports whether a new connection keeps the bound on descriptors, for which it may give up
+// another one. It is then open.
+func (c *Conns) takeRoom(t *trackedConn) bool {
 	c.mu.Lock()
 	if c.beyondBound() {
 		c.makeRoom(t)
 		c.unlockForNew()
 		c.mu.Lock()
 	}
-	beyond := c.beyondBound()
-	if !beyond {
-		c.open[t] = nil
+	defer c.mu.Unlock()
+	if c.beyondBound() {
+		return false
 	}
-	c.mu.Unlock()
-	if beyond {
-		c.fullUntil.Store(time.Now().Add(fullTime).UnixNano())
-		t.refuseNew(connlimit.CauseConns)
-		c.closed(t.peer, connlimit.CauseConns)
+	c.open[t] = nil
+	t.admitted = true
+	return true
+}
+
+// awaitRoom waits until an admitted connection is closed. It reports false if none is until roomUntil, or if
+// none was for roomTime; accepting must be held.
+func (c *Conns) awaitRoom() bool {
+	until := time.Unix(0, c.closedAt.Load()).Add(roomTime)
+	if c.roomUntil.Before(until) {
+		until = c.roomUntil
+	}
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-c.room:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// descriptorFreed records that a connection of Listener was closed.
+func (c *Conns) descriptorFreed(t *trackedConn) {
+	c.descriptors.Add(-1)
+	if !t.admitted {
+		return // nothing has ended
+	}
+	c.closedAt.Store(time.Now().UnixNano())
+	select {
+	case c.room <- struct{}{}:
+	default: // Accept finds the value that is already in it
 	}
-	return !beyond
 }
 
 // Full reports whether a connection found no room within fullTime before now. Answers then close theirs: it
--- a/gateway/internal/serve/conns.go
+++ b/gateway/internal/serve/conns.go
@@ -35,6 +35,14 @@
 
 	// accepting is held while a connection is accepted.
 	accepting sync.Mutex
+	// roomUntil is until when new connections may wait for room, and refusedInTurn the number of those that were
+	// refused since; accepting guards them.
+	roomUntil     time.Time
+	refusedInTurn int
+	// room has a value if an admitted connection was closed, and closedAt is the time of the last such close, in
+	// Unix nanoseconds.
+	room     chan struct{}
+	closedAt atomic.Int64
 
 	mu        sync.Mutex
 	open      map[net.Conn]*list.Element // element of idleConns; nil while not idle
@@ -88,6 +96,7 @@
 		maxOpen:     maxOpen,
 		idleTimeout: idleTimeout,
 		headTimeout: headTimeout,
+		room:        make(chan struct{}, 1),
 		open:        make(map[net.Conn]*list.Element),
 		closed:      func(netip.Addr, string) {},
 		dropped:     func(netip.Addr, closeDecision) {},
--- a/gateway/internal/serve/crowd_limit_test.go
+++ b/gateway/internal/serve/crowd_limit_test.go
@@ -17,8 +17,7 @@
 	is := is.New(t)
 	conns := NewConns(10, noLimit, noLimit)
 	for range 10 {
-		c, _ := net.Pipe()
-		answering := newTrackedConn(c, conns)
+		answering := newPipeConn(t, conns)
 		answering.state.Store(connAnswering)
 		conns.open[answering] = nil
 	}
@@ -36,8 +35,7 @@
 	}
 	is.True(orders <= 4) // one each orderLifetime
 
-	c, _ := net.Pipe()
-	arriving := newTrackedConn(c, conns)
+	arriving := newPipeConn(t, conns)
 	arriving.state.Store(time.Now().UnixNano())
 	conns.mu.Lock()
 	defer conns.unlock()
@@ -72,3 +70,40 @@
 	is.Equal(closes(), true)
 	is.Equal(conns.Full(time.Now().Add(fullTime)), false)
 }
+
+// newPipeConn returns a connection of conns that arrives, without a socket.
+func newPipeConn(t *testing.T, conns *Conns) *trackedConn {
+	c, peer := net.Pipe()
+	t.Cleanup(func() { peer.Close() })
+	return newTrackedConn(c, conns)
+}
+
+// TestCallerTakesPlaceOfClosedConnection guards against callers that are refused at the limit of connections
+// while another connection is about to be closed, so that its place is not used.
+func TestCallerTakesPlaceOfClosedConnection(t *testing.T) {
+	is := is.New(t)
+	conns := NewConns(1, noLimit, noLimit)
+	conns.descriptors.Store(1)
+	soon := time.Now().Add(10 * time.Second)
+	conns.roomUntil = soon
+	conns.closedAt.Store(soon.UnixNano())
+	first := newPipeConn(t, conns)
+	is.True(conns.admit(first))
+	first.state.Store(connAnswering)
+	time.AfterFunc(20*time.Millisecond, func() { closeConn(first) })
+	is.True(conns.admit(newPipeConn(t, conns)))
+}
+
+// TestRefusalsMakeNoRoom guards against callers that wait at the limit of connections though no answer ends:
+// a refused connection that is closed makes no room.
+func TestRefusalsMakeNoRoom(t *testing.T) {
+	is := is.New(t)
+	conns := NewConns(1, noLimit, noLimit)
+	conns.descriptors.Store(2)
+	for range 100 {
+		conns.roomUntil = time.Now().Add(time.Hour)
+		is.Equal(conns.admit(newPipeConn(t, conns)), false)
+		is.Equal(conns.closedAt.Load(), int64(0))
+		is.Equal(len(conns.room), 0)
+	}
+}
--- a/gateway/internal/serve/listener.go
+++ b/gateway/internal/serve/listener.go
@@ -3,8 +3,8 @@
 import (
 	"net"
 	"os"
-	"runtime"
 	"syscall"
+	"time"
 )
 
 // trackingListener accepts connections as *trackedConn.
@@ -13,25 +13,33 @@
 	conns *Conns
 }
 
-// refusalsPerTurn is the number of connections that are refused in a row before other goroutines run.
-const refusalsPerTurn = 64
+const (
+	// roomTime is how long connections at the bound on descriptors may wait for others to be closed.
+	roomTime = 100 * time.Millisecond
+	// refusalsPerTurn is the number of connections that are refused in a row before more may wait.
+	refusalsPerTurn = 64
+	// arrivalPause is how long no connection arrives if the backlog was empty.
+	arrivalPause = time.Millisecond
+)
 
-// Accept implements net.Listener. Connections beyond the bound on descriptors are refused at once, and
-// the answers that make room for more have a turn of the processor in between.
+// Accept implements net.Listener. Connections beyond the bound on descriptors wait in the backlog for as
+// long as others are being closed, for roomTime at most, and are then refused at once.
 func (l trackingListener) Accept() (net.Conn, error) {
 	l.conns.accepting.Lock()
 	defer l.conns.accepting.Unlock()
-	for refused := 1; ; refused++ {
+	for {
+		began := time.Now()
 		c, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
+		if now := time.Now(); now.Sub(began) > arrivalPause || l.conns.refusedInTurn == refusalsPerTurn {
+			l.conns.roomUntil, l.conns.refusedInTurn = now.Add(roomTime), 0
+		}
 		if t := newTrackedConn(c, l.conns); l.conns.admit(t) {
 			return t, nil
 		}
-		if refused%refusalsPerTurn == 0 {
-			runtime.Gosched()
-		}
+		l.conns.refusedInTurn++
 	}
 }
 
--- a/gateway/internal/serve/tracked_conn.go
+++ b/gateway/internal/serve/tracked_conn.go
@@ -65,6 +65,7 @@
 	refused    atomic.Bool
 	closed     atomic.Bool
 	kept       atomic.Bool // a request was answered on it
+	admitted   bool        // set before the server has it
 	// decision is set once the gateway has decided to close the connection, and ending is done
 	// once that is carried out.
 	decision atomic.Pointer[closeDecision]
@@ -316,7 +317,7 @@
 	}
 	if t.conns != nil {
 		t.conns.awaitDecision()
-		defer t.conns.descriptors.Add(-1)
+		defer t.conns.descriptorFreed(t)
 	}
 	if t.decision.Load() != nil {
 		t.end()
