--- a/gateway/internal/upstream/refuses.go
+++ b/gateway/internal/upstream/refuses.go
@@ -68,9 +68,12 @@
 // within refusalGrace, another one decides: upstreams also close those beyond their limit.
 func (c *Client) checkRefusal(address string) bool {
 	for range 2 {
-		k, refused := c.tryConnect(address)
-		if k == nil {
-			return refused
+		k, err := c.tryConnect(address)
+		if errors.Is(err, syscall.ECONNRESET) {
+			continue // it was accepted and closed before connect returned
+		}
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
 		}
 		if k.staysOpen(time.Now().Add(refusalGrace)) {
 			k.idleUntil = time.Now().Add(maxIdleTime)
@@ -82,18 +85,14 @@
 	return false
 }
 
-// tryConnect opens a connection. If it fails, it reports whether the host refused it.
-func (c *Client) tryConnect(address string) (k *conn, refused bool) {
+// tryConnect opens a connection, also beyond the limit.
+func (c *Client) tryConnect(address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), refusalTimeout)
 	defer cancel()
 	c.mu.Lock()
-	c.open++ // also beyond the limit: such checks are rare and short
+	c.open++ // such checks are rare and short
 	c.mu.Unlock()
-	k, err := c.connect(ctx, address)
-	if err != nil {
-		return nil, errors.Is(err, syscall.ECONNREFUSED)
-	}
-	return k, false
+	return c.connect(ctx, address)
 }
 
 // staysOpen reports whether the connection is open and without data until the given time.
