quarantine: the wait for the last trial also follows a trial whose end is lost

Callers whose requests hold a segment that crashes upstreams got 400 (final) about 5.5 s after a restart of all controllers, rather than 503 with the time of the next trial. OPERATIONS.md says that the last two trials come 5 s and 30 s after the ones before.

Cause: from the fifth crash on (third for a request) two further trials are made, and one counts as soon as it is sent. The wait for the next one followed from the rounds alone, which count only once the trial has failed (100 ms after the crash and a proposal later). A leader that was killed in that time left 3 rounds and one late trial in the state: the next leader sent the last trial after 5 s, and refused for good when it failed. With a gateway that survives, the record said that the next trial may start at once. Two trials that were aborted (their gateway was lost) were 5 s apart, too.

Each late trial now counts like a failed round for the wait (NextTrialWait), in records that others get, in those loaded from the state and after an abort. The number of trials stays.

--- a/controller/internal/gateway/quarantine.go
+++ b/controller/internal/gateway/quarantine.go
@@ -81,7 +81,7 @@
 			Crashes:    q.Crashes,
 			LateTrials: q.LateTrials,
 			MidAnswer:  q.MidAnswer,
-			TrialIn:    quarantine.TrialWait(q.Rounds),
+			TrialIn:    quarantine.NextTrialWait(q.Rounds, q.LateTrials),
 			Companions: q.Companions,
 			Services:   q.Services,
 		})
--- a/controller/internal/gateway/quarantine_test.go
+++ b/controller/internal/gateway/quarantine_test.go
@@ -199,6 +199,30 @@
 	}
 }
 
+// TestRecordedTrialWithoutKnownEnd guards against refusals that are final 5 s after a restart of all
+// controllers during a trial: the state has the trial and not its end.
+func TestRecordedTrialWithoutKnownEnd(t *testing.T) {
+	is := is.New(t)
+	h := newLeadingHub()
+	h.applyRecorded(&recordedQuarantine{
+		revision: 1,
+		subjects: map[uint64]state.QuarantinedSubject{
+			crashingSegment: {
+				ID:         crashingSegment,
+				Rounds:     3,
+				Crashes:    8,
+				LateTrials: 1,
+			},
+		},
+	})
+	c := &conn{
+		name: "a",
+	}
+	d := place(h, c, request(1))
+	is.Equal(d.Reason, dispatch.Quarantined)
+	is.True(d.RetryAfter >= quarantine.TrialWait(4)) // as after a failed trial
+}
+
 // TestGatewayReportsQuarantineToNewLeader checks that a leader takes over what a gateway
 // knows from the leader before.
 func TestGatewayReportsQuarantineToNewLeader(t *testing.T) {
--- a/fleet/quarantine/entry.go
+++ b/fleet/quarantine/entry.go
@@ -54,8 +54,13 @@
 
 func (e *entry) quarantined() bool { return e.rounds >= restrictRounds }
 
-// record returns a subject's entry as it is reported.
+// record returns a subject's entry as it is reported. Other processes may not learn of the end of
+// a trial in flight.
 func (r *Register) record(now time.Time, id uint64, e *entry) Record {
+	trialIn := max(e.trialAt.Sub(now), 0)
+	if e.trialing && e.lateTrials > 0 {
+		trialIn = max(trialIn, NextTrialWait(e.rounds, e.lateTrials))
+	}
 	return Record{
 		Subject: Subject{
 			ID:   id,
@@ -67,7 +72,7 @@
 		LateTrials: e.lateTrials,
 		MidAnswer:  e.midAnswer,
 		SinceCrash: max(now.Sub(e.lastRound), 0),
-		TrialIn:    max(e.trialAt.Sub(now), 0),
+		TrialIn:    trialIn,
 		Companions: r.companionsOf(id, e),
 		Services:   e.services,
 	}
--- a/fleet/quarantine/record.go
+++ b/fleet/quarantine/record.go
@@ -17,7 +17,8 @@
 	// Services are those at which engines crashed with a request, at most maxServices.
 	Services []uint64 `cbor:"11,keyasint,omitempty"`
 	// SinceCrash is the time since the last crash, and TrialIn the time until the next
-	// trial may start; both count from when the record is sent.
+	// trial may start, with one in flight after Crashes reached lateCrashes taken as failed. Both
+	// count from when the record is sent.
 	SinceCrash time.Duration `cbor:"5,keyasint,omitempty"`
 	TrialIn    time.Duration `cbor:"6,keyasint,omitempty"`
 	// Companions are other quarantined subjects that were at all of the crashes, in the same
--- a/fleet/quarantine/register.go
+++ b/fleet/quarantine/register.go
@@ -71,6 +71,15 @@
 	return time.Hour
 }
 
+// NextTrialWait returns the time to the next trial of a subject if the end of its last trial may
+// not be known. Late trials count like failed ones, as they do for maxLateTrials.
+func NextTrialWait(rounds, lateTrials int) time.Duration {
+	if lateTrials > 0 {
+		rounds = max(rounds, confirmedRounds+lateTrials)
+	}
+	return TrialWait(rounds)
+}
+
 // Register holds the evidence against subjects.
 type Register struct {
 	entries     map[uint64]*entry
--- a/fleet/quarantine/verdict.go
+++ b/fleet/quarantine/verdict.go
@@ -101,7 +101,7 @@
 }
 
 // AbortTrial records that the end of a trial will not be known. The next one waits as
-// after a crash.
+// after a crash, and as after a failed trial if the aborted one was late.
 func (r *Register) AbortTrial(now time.Time, subjects []Subject) {
 	for _, subject := range subjects {
 		e := r.entries[subject.ID]
@@ -110,6 +110,6 @@
 		}
 		e.trialing = false
 		e.abortedUntil = now.Add(abortedTrialWait)
-		e.trialAt = now.Add(max(TrialWait(e.rounds), abortedTrialWait))
+		e.trialAt = now.Add(max(NextTrialWait(e.rounds, e.lateTrials), abortedTrialWait))
 	}
 }
