fleet/program: log, count and answer handlers that panic

Callers and operators saw connections that ended without an answer: a handler that panics ends its connection, net/http writes the stack as text to standard error, and no metric counts it. No server had an ErrorLog either, so what net/http reports was no line of the log.

Reporter writes one line with the request's identifier, the cause and the innermost eight functions, counts handler_panics_total, and answers with status 500 (internal_error) while nothing was sent. If a part was sent or the connection was taken over, it is closed as before; so it is for http.ErrAbortHandler, which is not reported. ErrorLog writes a line of the log. Both write at most ten lines a second for each listener. The port for administrators also logs connections that are closed at a limit now, as the other ports do.

TestPanicsAreReported and TestServerErrorsAreLogged failed before (status 0 != 500; ErrorLog is nil). The check of docs/LOGS.md covers the new file, too.

--- a/bench/pages/logs_test.go
+++ b/bench/pages/logs_test.go
@@ -14,7 +14,7 @@
 	"gateway/serve.go", "gateway/internal/serve", "gateway/internal/controller",
 	"controller/serve.go", "controller/internal/gateway", "controller/internal/peer",
 	"controller/internal/replica", "controller/internal/operator/configuration.go",
-	"fleet/trace", "fleet/telemetry/writer.go", "fleet/program/pause.go", "fleet/program/server.go",
+	"fleet/trace", "fleet/telemetry/writer.go", "fleet/program/pause.go", "fleet/program/server.go", "fleet/program/reporter.go",
 }
 
 // TestLogLines checks that docs/LOGS.md lists exactly the log messages in the code. It
--- a/controller/run.go
+++ b/controller/run.go
@@ -94,10 +94,10 @@
 	if err != nil {
 		return err
 	}
-	if err := program.ServeAdmin(ctx, s.AdminListen, p.metrics, p.ready); err != nil {
+	if err := program.ServeAdmin(ctx, s.AdminListen, p.metrics, p.ready, log); err != nil {
 		return err
 	}
-	server := program.NewServer(p.handler(ctx))
+	server := program.NewReporter("fleet", p.metrics, log).Server(p.handler(ctx))
 	go server.Serve(listener)
 	go p.hub.Run(ctx)
 	go p.accounts.Run(ctx)
--- a/controller/serve.go
+++ b/controller/serve.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return merry.Prepend(err, "operator_listen")
 	}
-	if err := program.ServeAdmin(ctx, s.AdminListen, p.metrics, p.ready); err != nil {
+	if err := program.ServeAdmin(ctx, s.AdminListen, p.metrics, p.ready, log); err != nil {
 		return err
 	}
 	if err := program.ServeMetrics(ctx, s.MetricsListen, p.metrics, log); err != nil {
--- a/fleet/problem/problem.go
+++ b/fleet/problem/problem.go
@@ -49,6 +49,7 @@
 	InvalidResource  Code = "invalid_resource"
 	RevisionGone     Code = "revision_gone"
 	MemberRefused    Code = "member_refused"
+	InternalError    Code = "internal_error"
 )
 
 // Run says whether an upstream ran the request, and so whether a retry is safe.
--- a/fleet/program/program.go
+++ b/fleet/program/program.go
@@ -85,7 +85,7 @@
 // ServeAdmin starts to serve /metrics, /healthz and /readyz at the address until the
 // context ends, and returns. ready returns nil, or the reason why the program is not
 // ready, which /readyz answers with status 503. An empty address serves nothing.
-func ServeAdmin(ctx context.Context, address string, metrics *telemetry.Metrics, ready func() error) error {
+func ServeAdmin(ctx context.Context, address string, metrics *telemetry.Metrics, ready func() error, log *slog.Logger) error {
 	if address == "" {
 		return nil
 	}
@@ -103,7 +103,7 @@
 		}
 		fmt.Fprintln(w, "ok")
 	})
-	server := ServeLimited(CheckLimits("admin"), listener, mux, metrics, nil)
+	server := ServeLimited(CheckLimits("admin"), listener, mux, metrics, log)
 	go func() {
 		<-ctx.Done()
 		server.Close()
--- a/fleet/program/server.go
+++ b/fleet/program/server.go
@@ -86,9 +86,9 @@
 
 // ServeLimited serves the listener until the server is closed, and returns the server. The
 // connections, heads, bodies and times are limited; those that a limit ends are counted and
-// logged at growing intervals. A nil log logs nothing.
+// logged at growing intervals. Handlers that panic are reported by a Reporter. A nil log logs nothing.
 func ServeLimited(s ServerSettings, listener net.Listener, handler http.Handler, metrics *telemetry.Metrics, log *slog.Logger) *http.Server {
-	server := NewServer(handler)
+	server := NewReporter(s.Name, metrics, log).Server(handler)
 	server.ReadTimeout = readTimeout
 	server.WriteTimeout = writeTimeout
 	server.IdleTimeout = idleTimeout
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	if err := program.ServeAdmin(runCtx, s.AdminListen, p.metrics, p.ready); err != nil {
+	if err := program.ServeAdmin(runCtx, s.AdminListen, p.metrics, p.ready, log); err != nil {
 		return err
 	}
 	go p.client.Run(runCtx)
@@ -86,7 +86,7 @@
 
 // newServer returns the server for the connections of conns.
 func (p *components) newServer() *http.Server {
-	server := program.NewServer(p.conns.Handler(p.handler))
+	server := program.NewReporter("callers", p.metrics, p.log).Server(p.conns.Handler(p.handler))
 	server.ConnState = p.conns.ConnState
 	server.ConnContext = p.conns.ConnContext
 	return server
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -72,7 +72,7 @@
 	}
 	runCtx, stop := context.WithCancel(context.Background())
 	defer stop()
-	if err := program.ServeAdmin(runCtx, s.AdminListen, p.metrics, p.ready); err != nil {
+	if err := program.ServeAdmin(runCtx, s.AdminListen, p.metrics, p.ready, log); err != nil {
 		return err
 	}
 	if err := program.ServeMetrics(runCtx, s.MetricsListen, p.metrics, log); err != nil {
@@ -82,10 +82,7 @@
 	go program.WatchPauses(runCtx, log)
 	go p.link.Run(runCtx)
 	go p.prune(runCtx)
-	server := program.NewServer(p.handler)
-	server.ConnState = p.handler.Conns().ConnState
-	server.ConnContext = p.handler.Conns().ConnContext
-	server.MaxHeaderBytes = maxCallerHeadBytes
+	server := p.newServer()
 	go p.handler.Conns().Run(runCtx)
 	go p.handler.Lag().Run(runCtx)
 	go p.handler.Load().Run(runCtx, log)
@@ -105,6 +102,15 @@
 	return nil
 }
 
+// newServer returns the server for callers' connections.
+func (p *serveComponents) newServer() *http.Server {
+	server := program.NewReporter("callers", p.metrics, p.log).Server(p.handler)
+	server.ConnState = p.handler.Conns().ConnState
+	server.ConnContext = p.handler.Conns().ConnContext
+	server.MaxHeaderBytes = maxCallerHeadBytes
+	return server
+}
+
 // newServeComponents returns the components, connected to each other and not running.
 func newServeComponents(s ServeSettings, cred *credential.Credential, log *slog.Logger) *serveComponents {
 	p := &serveComponents{
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -84,11 +84,11 @@
 		return err
 	}
 	s.registerMetrics()
-	if err := program.ServeAdmin(lifetime, settings.AdminListen, s.metrics, s.ready); err != nil {
+	if err := program.ServeAdmin(lifetime, settings.AdminListen, s.metrics, s.ready, s.log); err != nil {
 		return err
 	}
 	s.start(lifetime)
-	server := program.NewServer(s.handler(lifetime, cred))
+	server := program.NewReporter("fleet", s.metrics, log).Server(s.handler(lifetime, cred))
 	go server.Serve(listener)
 	log.Info("sidecar started", "listen", settings.Listen, "incarnation", s.incarnation)
 	<-ctx.Done()
