gateway/internal/upstream: close the connection of a request whose function panics

Send calls functions of its caller (Abandoned, Watch, OnStall) after it has opened a connection. A panic of one left the connection open and counted until the process ended, and the upstream at work until the context of the request ended.

TestPanicFreesConn failed before (1 != 0 open connections).

--- a/gateway/internal/upstream/exchange.go
+++ b/gateway/internal/upstream/exchange.go
@@ -60,8 +60,13 @@
 			return nil, ErrAbandoned
 		}
 	}
+	answered := false
+	defer func() {
+		if !answered { // a function of the request may have panicked
+			k.close()
+		}
+	}()
 	if err := k.SetDeadline(r.Deadline); err != nil {
-		k.close()
 		return nil, merry.Prependf(ErrUnreachable, "%v", err)
 	}
 	a := &Answer{
@@ -82,6 +87,7 @@
 		}
 		return nil, merry.Prependf(ErrBroken, "%v", err)
 	}
+	answered = true
 	return a, nil
 }
 
