gateway/internal/serve: answer a request whose handling panics

A caller whose request met an error of the gateway got a closed connection: with a scheduler that panics, "Post .../book/: EOF". The outcome of its placement was not reported.

While nothing was sent the caller now gets 503 "not run" with Retry-After if no upstream had the request, and otherwise 502 with an unknown outcome; a placement is reported as unsent or, since the panic says nothing of the upstream, as one whose caller has left. An answer that was written whole is delivered, and one that was sent in part is broken off as before. The line `handler panicked` has the request's identifier, and so have the lines about its end.

--- a/gateway/internal/serve/forward.go
+++ b/gateway/internal/serve/forward.go
@@ -21,17 +21,18 @@
 	result := forwardBody(id, answer)
 	switch {
 	case result == answered:
+		x.answerWhole = true
 		if answer.Status < http.StatusMultipleChoices {
-			h.scheduler.ReportOutcome(id, dispatch.Answered)
+			x.reportOutcome(id, dispatch.Answered)
 		} else {
-			h.scheduler.ReportOutcome(id, dispatch.AnsweredError)
+			x.reportOutcome(id, dispatch.AnsweredError)
 		}
 		h.requestSeconds.UpdateSince(x.team, x.service, x.arrived)
 	case result == callerLeft, x.r.Context().Err() != nil:
-		h.scheduler.ReportOutcome(id, dispatch.CallerLeft)
+		x.reportOutcome(id, dispatch.CallerLeft)
 		return callerLeft
 	case result == pastDeadline, errors.Is(x.responseErr, upstream.ErrStalled):
-		h.scheduler.ReportOutcome(id, dispatch.ResponseTimeout)
+		x.reportOutcome(id, dispatch.ResponseTimeout)
 	default:
 		x.reportBroken(id, address)
 	}
@@ -44,7 +45,6 @@
 	if x.headSent {
 		return
 	}
-	x.headSent = true
 	header := x.w.Header()
 	for name, values := range answer.Header {
 		if connectionHeaders[name] {
@@ -57,6 +57,7 @@
 	}
 	x.status = answer.Status
 	x.firstByteAt = time.Now()
+	x.headSent = true
 	x.w.WriteHeader(answer.Status)
 	x.handler.firstByteSeconds.UpdateSince(x.team, x.service, x.arrived)
 }
--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -13,6 +13,7 @@
 	"baobabpaddle/fleet/dispatch"
 	"baobabpaddle/fleet/origin"
 	"baobabpaddle/fleet/problem"
+	"baobabpaddle/fleet/program"
 	"baobabpaddle/fleet/room"
 	"baobabpaddle/fleet/steady"
 	"baobabpaddle/fleet/telemetry"
@@ -101,6 +102,7 @@
 	firstByteSeconds *telemetry.Histograms
 	unplacedSeconds  *telemetry.Histograms
 	counters         *counters
+	reporter         *program.Reporter
 }
 
 // Settings configures a Handler.
@@ -130,6 +132,7 @@
 		log:       log,
 		trace:     trace.New(log),
 		counters:  newCounters(metrics),
+		reporter:  program.NewReporter("callers", metrics, log),
 		budget:    newRetryBudget(s.Retry),
 		limits:    s.Limits,
 
@@ -196,7 +199,7 @@
 		x.w.Header().Set("Retry-After", h.protocol.RetryAfter(retry))
 	}
 	x.limitRefusal()
-	problem.NewNotRun(status, code, detail).Write(x.w)
+	x.sendProblem(problem.NewNotRun(status, code, detail))
 	h.counters.countRefusal(string(reason))
 	end := x.requestLog().Failed
 	if x.shed {
@@ -229,17 +232,20 @@
 	}
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
-	if h.drainEnd.Load() != 0 || h.load.Overloaded() {
-		w.Header().Set("Connection", "close")
-	}
 	x := &exchange{
 		handler: h,
-		view:    h.scheduler.View(),
+		view:    &noView,
 		w:       w,
 		r:       r,
 		arrived: arrived,
 		held:    newHeld(r),
 	}
+	defer x.recoverPanic(false) // of the answer to the first panic
+	defer x.recoverPanic(true)
+	x.view = h.scheduler.View()
+	if h.drainEnd.Load() != 0 || h.load.Overloaded() {
+		w.Header().Set("Connection", "close")
+	}
 	if x.view.Table == nil {
 		x.refuse(http.StatusServiceUnavailable, problem.NotReady, "no configuration yet", notReadyRetryAfter)
 		return
@@ -303,8 +309,12 @@
 	// nothingSent whether the last one is among them.
 	unsentTo    int
 	nothingSent bool
-	// mayHaveRun is true if an upstream may have run the request.
+	// mayHaveRun is true if an upstream may have run the request in an attempt that has ended, and
+	// sending from the moment at which the request is sent until the attempt has ended.
 	mayHaveRun bool
+	sending    bool
+	// unreported identifies the placement whose outcome has not been reported; zero if there is none.
+	unreported uint64
 	// retryCounted is true if the retry budget was already charged for the next attempt.
 	retryCounted bool
 	// next is the decision on the next attempt if it was made within the last one.
@@ -312,6 +322,7 @@
 
 	// State of the answer to the caller.
 	headSent    bool
+	answerWhole bool // all of it was written
 	events      eventScanner
 	status      int       // zero before the answer
 	sentAt      time.Time // when the last attempt began
--- a/gateway/internal/serve/held.go
+++ b/gateway/internal/serve/held.go
@@ -160,7 +160,7 @@
 func (x *exchange) noConns(id uint64) outcome {
 	x.nothingSent = true
 	x.unsentTo += maxUnsent // no other upstream can be reached either
-	x.handler.scheduler.ReportOutcome(id, dispatch.Unsent)
+	x.reportOutcome(id, dispatch.Unsent)
 	return notRun
 }
 
--- /dev/null
+++ b/gateway/internal/serve/report.go
@@ -0,0 +1,39 @@
+package serve
+
+import "baobabpaddle/fleet/dispatch"
+
+// notePlacement records that the outcome of a placement has to be reported.
+func (x *exchange) notePlacement(d dispatch.Decision) {
+	if d.Upstream != "" {
+		x.unreported = d.ID
+	}
+}
+
+// reportOutcome reports to the scheduler how the request ended at an upstream.
+func (x *exchange) reportOutcome(id uint64, outcome dispatch.Outcome) {
+	x.unreported = 0
+	x.handler.scheduler.ReportOutcome(id, outcome)
+}
+
+// reportBroken reports an exchange that broke off, and whether the upstream crashed: its
+// host then refuses connections.
+func (x *exchange) reportBroken(id uint64, address string) {
+	outcome := dispatch.Broken
+	if x.handler.client.Refuses(address) {
+		outcome = dispatch.Crashed
+	}
+	x.reportOutcome(id, outcome)
+}
+
+// reportPanicked reports the end of a placement that a panic has kept from being reported. The panic
+// says nothing of the upstream.
+func (x *exchange) reportPanicked() {
+	if x.unreported == 0 {
+		return
+	}
+	outcome := dispatch.Unsent
+	if x.sending {
+		outcome = dispatch.CallerLeft
+	}
+	x.reportOutcome(x.unreported, outcome)
+}
--- a/gateway/internal/serve/run.go
+++ b/gateway/internal/serve/run.go
@@ -59,6 +59,7 @@
 	defer h.conns.callers.remove(running)
 	x.r, x.running = x.r.WithContext(ctx), running
 	defer x.releaseNext()
+	defer x.reportPanicked()
 	var result outcome
 	for {
 		d := x.place()
@@ -69,7 +70,7 @@
 		}
 		if x.continues && d.Version == "" {
 			// The leader is an older one, which knows no software versions.
-			h.scheduler.ReportOutcome(d.ID, dispatch.Unsent)
+			x.reportOutcome(d.ID, dispatch.Unsent)
 			x.refuseUnplaced(dispatch.Decision{
 				Reason: dispatch.UnknownVersion,
 				Inputs: d.Inputs,
@@ -99,9 +100,10 @@
 			// A caller that has closed only its sending side would take a normal end for
 			// that of the answer.
 			panic(http.ErrAbortHandler)
-		case failed, truncated:
+		case failed, truncated, pastDeadline:
 			x.mayHaveRun = true
 		}
+		x.sending = false
 		if reason := x.noRetryReason(result, attempts); reason != "" {
 			x.requestLog().Step(time.Now(), trace.NotRetried{
 				Reason: reason,
@@ -247,12 +249,12 @@
 	switch {
 	case result == pastDeadline:
 		x.status = http.StatusGatewayTimeout
-		problem.New(x.status, problem.DeadlinePassed, "no answer in time").Write(x.w)
+		x.sendProblem(problem.New(x.status, problem.DeadlinePassed, "no answer in time"))
 	case x.mayHaveRun:
 		x.status = http.StatusBadGateway
 		p := problem.New(x.status, problem.UpstreamFailed, "the upstream failed")
 		p.Run = problem.RunUnknown
-		p.Write(x.w)
+		x.sendProblem(p)
 	default:
 		x.refuse(http.StatusServiceUnavailable, problem.NoUpstream, "no upstream took the request", rejectedRetryAfter)
 		return
@@ -293,7 +295,7 @@
 	destination, ok := h.scheduler.View().Upstreams[d.Upstream]
 	if !ok {
 		step.Cause = "the upstream is no longer listed"
-		h.scheduler.ReportOutcome(d.ID, dispatch.Unreachable)
+		x.reportOutcome(d.ID, dispatch.Unreachable)
 		return notRun
 	}
 	step.Version = destination.Version
@@ -303,7 +305,9 @@
 		return x.reportUnsent(d.ID, dispatch.Unsent)
 	}
 	x.sentAt = time.Now()
-	answer, err := h.client.Send(x.r.Context(), destination.Address, x.upstreamRequest(destination.ID))
+	request := x.upstreamRequest(destination.ID)
+	x.sending = true
+	answer, err := h.client.Send(x.r.Context(), destination.Address, request)
 	if err != nil {
 		step.Cause = err.Error()
 		return x.sendFailed(d.ID, destination.Address, err)
@@ -316,7 +320,7 @@
 	x.reportRateLimit(d, reply)
 	if r := x.checkReply(answer, reply); r != nil {
 		step.Cause = r.cause
-		h.scheduler.ReportOutcome(d.ID, r.reported)
+		x.reportOutcome(d.ID, r.reported)
 		return r.outcome
 	}
 	defer func() { step.RequestErr = answer.RequestErr() }()
@@ -365,32 +369,22 @@
 		// The upstream's zone was evacuated. It may no longer be.
 		return x.reportUnsent(id, dispatch.Unsent)
 	case errors.Is(err, upstream.ErrAbandoned), x.r.Context().Err() != nil:
-		h.scheduler.ReportOutcome(id, dispatch.CallerLeft)
+		x.reportOutcome(id, dispatch.CallerLeft)
 		return callerLeft
 	case errors.Is(err, upstream.ErrNoConns):
 		return x.noConns(id)
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return x.reportUnsent(id, dispatch.ConnectionRefused)
 	case errors.Is(err, upstream.ErrUnreachable):
-		h.scheduler.ReportOutcome(id, dispatch.Unreachable)
+		x.reportOutcome(id, dispatch.Unreachable)
 		return notRun
 	case errors.Is(err, upstream.ErrStalled):
-		h.scheduler.ReportOutcome(id, dispatch.ResponseTimeout)
+		x.reportOutcome(id, dispatch.ResponseTimeout)
 		return failed
 	case !time.Now().Before(x.deadline):
-		h.scheduler.ReportOutcome(id, dispatch.ResponseTimeout)
+		x.reportOutcome(id, dispatch.ResponseTimeout)
 		return pastDeadline
 	}
 	x.reportBroken(id, address)
 	return failed
 }
-
-// reportBroken reports an exchange that broke off, and whether the upstream crashed: its
-// host then refuses connections.
-func (x *exchange) reportBroken(id uint64, address string) {
-	outcome := dispatch.Broken
-	if x.handler.client.Refuses(address) {
-		outcome = dispatch.Crashed
-	}
-	x.handler.scheduler.ReportOutcome(id, outcome)
-}
--- a/gateway/internal/serve/stall_timeout.go
+++ b/gateway/internal/serve/stall_timeout.go
@@ -83,11 +83,13 @@
 func (x *exchange) place() dispatch.Decision {
 	if x.next == nil {
 		d := x.handler.scheduler.Place(x.r.Context(), x.placementRequest())
+		x.notePlacement(d)
 		x.leaveGate(true)
 		return d
 	}
 	d := *x.next
 	x.next = nil
+	x.notePlacement(d)
 	return d
 }
 
--- a/gateway/internal/serve/unsent.go
+++ b/gateway/internal/serve/unsent.go
@@ -38,6 +38,6 @@
 func (x *exchange) reportUnsent(id uint64, cause dispatch.Outcome) outcome {
 	x.nothingSent = true
 	x.unsentTo++
-	x.handler.scheduler.ReportOutcome(id, cause)
+	x.reportOutcome(id, cause)
 	return notRun
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -104,7 +104,8 @@
 
 // newServer returns the server for callers' connections.
 func (p *serveComponents) newServer() *http.Server {
-	server := program.NewReporter("callers", p.metrics, p.log).Server(p.handler)
+	server := program.NewServer(p.handler)
+	server.ErrorLog = program.NewReporter("callers", p.metrics, p.log).ErrorLog()
 	server.ConnState = p.handler.Conns().ConnState
 	server.ConnContext = p.handler.Conns().ConnContext
 	server.MaxHeaderBytes = maxCallerHeadBytes
