fleet/link: close a link when what uses it panics

net/http does not close a connection that a handler has taken over. After a panic the link stayed open and its heartbeats went on, so that the other end took it for one that is used.

TestPanicClosesLink failed before ("the link is still open" after two heartbeats).

--- a/fleet/link/server.go
+++ b/fleet/link/server.go
@@ -52,8 +52,8 @@
 			return
 		}
 		c := newConn[T](stream, buffered.Reader, requestedHeartbeat(r), d.Stats)
+		defer c.Close() // use may panic
 		go c.closeOn(ctx)
 		use(peer, c)
-		c.Close()
 	})
 }
