soak: callers keep their connections

Since each caller of the soak closed its connection after every request, also if no stream was to be resumed, and opened a new one.

resume now closes the connection only if it has sent a request, which goes to another gateway.

TestCallersKeepConnections failed before: "33 != 1" connections in half a second.

--- a/bench/internal/soak/caller.go
+++ b/bench/internal/soak/caller.go
@@ -75,11 +75,13 @@
 // request, or nil if nothing was to be resumed.
 func (c *caller) resume(ctx context.Context, origin *Attempt) *Attempt {
 	home := c.gateway
+	var last *Attempt
 	defer func() {
-		c.disconnect()
-		c.gateway = home
+		if last != nil {
+			c.disconnect()
+			c.gateway = home
+		}
 	}()
-	var last *Attempt
 	after := lastEvent(origin)
 	for range maxResumptions {
 		broken := cmp.Or(last, origin)
