soak: changes of routes' limits on time alone, and short ones of calls

Every other change of a series is now one of routes only, and requests that are no streams have down to 0.7 s. Streams keep 3 s and more, since one that reaches its limit breaks off.

TestLimitsOfRoutes checks which routes get the short limit.

--- a/bench/internal/soak/caller_test.go
+++ b/bench/internal/soak/caller_test.go
@@ -18,7 +18,9 @@
 	s, err := prepare(o)
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = s.faultLog.Close() })
-	s.fleet.gateways = []*process{{listen: address}}
+	s.fleet.gateways = []*process{{
+		listen: address,
+	}}
 	return s.faults
 }
 
--- a/bench/internal/soak/crowds.go
+++ b/bench/internal/soak/crowds.go
@@ -29,6 +29,8 @@
 	starvedRun  = time.Millisecond
 	// limitsGap is the longest time between two changes of limits in a series.
 	limitsGap = 400 * time.Millisecond
+	// shortCallTimeout is the shortest limit on the time of requests that are no streams.
+	shortCallTimeout = 700 * time.Millisecond
 )
 
 // crowdSeries is the number of further series of faults, of crowdFaultKinds only.
@@ -109,33 +111,40 @@
 	p.started = p.started.Add(time.Since(began)) // it may not handle signals yet
 }
 
-// timeLimits are the limits on time in a configuration. Zero has the gateways take their defaults.
-type timeLimits struct{ idle, head, route time.Duration }
+// timeLimits are the limits on time in a configuration. Zero has the gateways take their defaults. Call
+// and stream are the limits of routes.
+type timeLimits struct{ idle, head, call, stream time.Duration }
 
 // drawLimits returns random limits that callers who keep to HTTP keep.
 func drawLimits(random *rand.Rand) timeLimits {
 	idle := []time.Duration{0, 10 * time.Second, time.Second, 300 * time.Millisecond, 50 * time.Millisecond}
 	head := []time.Duration{0, 5 * time.Second, time.Second}
-	route := []time.Duration{callerTimeout, callerTimeout * 3 / 4}
-	return timeLimits{
-		idle:  idle[random.IntN(len(idle))],
-		head:  head[random.IntN(len(head))],
-		route: route[random.IntN(len(route))],
+	call := []time.Duration{callerTimeout, callerTimeout * 3 / 4, callerTimeout / 2, shortCallTimeout}
+	limits := timeLimits{
+		idle: idle[random.IntN(len(idle))],
+		head: head[random.IntN(len(head))],
+		call: call[random.IntN(len(call))],
 	}
+	limits.stream = max(limits.call, callerTimeout*3/4) // a stream that reaches its limit breaks off
+	return limits
 }
 
-// changeLimits changes the limits on time in the configuration in a short series.
+// changeLimits changes the limits on time in the configuration in a short series. Every other change is
+// one of routes' limits only.
 func (f *faults) changeLimits(ctx context.Context, random *rand.Rand) {
-	for range 2 + random.IntN(8) {
+	for i := range 2 + random.IntN(8) {
 		if ctx.Err() != nil {
 			return
 		}
 		limits := drawLimits(random)
-		f.soak.logFault("limits: idle %v, head %v, routes %v", limits.idle, limits.head, limits.route)
 		o := f.soak.operator
 		o.mu.Lock()
+		if i%2 == 1 {
+			limits.idle, limits.head = o.limits.idle, o.limits.head
+		}
 		o.limits = limits
 		o.mu.Unlock()
+		f.soak.logFault("limits: idle %v, head %v, calls %v, streams %v", limits.idle, limits.head, limits.call, limits.stream)
 		o.changeConfiguration(ctx, random)
 		time.Sleep(randomDuration(random, limitsGap))
 	}
--- a/bench/internal/soak/crowds_test.go
+++ b/bench/internal/soak/crowds_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"encoding/json"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strings"
@@ -105,3 +107,25 @@
 	is.Equal(one.to.Sub(one.from), 2*time.Second)
 	is.Equal(one.to.Format("15:04:05"), "04:00:10")
 }
+
+// TestLimitsOfRoutes guards against a limit on calls that breaks off streams.
+func TestLimitsOfRoutes(t *testing.T) {
+	is := is.New(t)
+	f := newFaults(t, Options{}, "")
+	short := false
+	for seed := range uint64(20) {
+		f.soak.operator.limits = drawLimits(rand.New(rand.NewPCG(seed, 0)))
+		var document struct {
+			Routes []struct {
+				Kind    string `json:"kind"`
+				Timeout int64  `json:"timeout_ms"`
+			} `json:"routes"`
+		}
+		is.NoErr(json.Unmarshal(f.soak.operator.document(), &document))
+		for _, route := range document.Routes {
+			short = short || route.Timeout == shortCallTimeout.Milliseconds()
+			is.True(route.Kind != "stream" || route.Timeout >= (callerTimeout*3/4).Milliseconds())
+		}
+	}
+	is.True(short)
+}
--- a/bench/internal/soak/operator.go
+++ b/bench/internal/soak/operator.go
@@ -68,7 +68,7 @@
 			"host":                 "soak.example",
 			"path_prefix":          "/" + string(kind) + "/",
 			"kind":                 "unsafe",
-			"timeout_ms":           cmp.Or(o.limits.route, callerTimeout).Milliseconds(),
+			"timeout_ms":           cmp.Or(o.limits.call, callerTimeout).Milliseconds(),
 			"latency_objective_ms": 300,
 			"service":              "desk",
 			"max_upstreams":        1,
@@ -78,6 +78,7 @@
 		}
 		if kind.stream() {
 			route["kind"] = "stream"
+			route["timeout_ms"] = cmp.Or(o.limits.stream, callerTimeout).Milliseconds()
 			route["service"] = "llm"
 			route["pause_objective_ms"] = 200
 			route["model_requests"] = true
