soak: crowds that return at once, bodies of several sizes, some in two parts

All callers of a crowd waited for Retry-After, at most a second, and sent some twenty bytes in one write. Now none to all of a crowd, in quarters, return at once when they are refused, the others wait for as long as they are asked to. Bodies have 100 to 60,000 bytes, and a third are sent in two parts. A caller whose request can't be sent reads what the gateway has answered.

--- a/bench/internal/soak/caller.go
+++ b/bench/internal/soak/caller.go
@@ -45,6 +45,12 @@
 	// maxPause is the longest pause between an answer and the next request; zero
 	// means 30 ms.
 	maxPause time.Duration
+	// maxRetryWait is the longest time for which the caller waits because of a Retry-After; zero means
+	// a second. It does not wait if atOnce is true.
+	maxRetryWait time.Duration
+	atOnce       bool
+	// maxBody, unless it is zero, is the length of the longest bodies in bytes. Some are sent in two parts.
+	maxBody int
 }
 
 // run sends requests until the context ends, with short pauses or those that the gateway
@@ -54,9 +60,11 @@
 	for ctx.Err() == nil {
 		pause := time.Duration(c.random.IntN(30)) * time.Millisecond
 		a := c.newAttempt()
-		if retry := c.send(a); retry > 0 {
-			pause = min(retry, time.Second)
-		} else if a.Status != 0 && c.maxPause > 0 {
+		retry := c.send(a)
+		switch {
+		case retry > 0 && !c.atOnce:
+			pause = min(retry, cmp.Or(c.maxRetryWait, time.Second))
+		case retry == 0 && a.Status != 0 && c.maxPause > 0:
 			pause = randomDuration(c.random, c.maxPause)
 		}
 		c.resume(ctx, a)
@@ -149,7 +157,7 @@
 			a.TimedOut = strings.Contains(a.Err, "timeout")
 		}
 	})
-	if err != nil || header.Get("Connection") == "close" {
+	if err != nil || a.Written.IsZero() || header.Get("Connection") == "close" {
 		c.disconnect()
 	}
 	seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
@@ -163,7 +171,8 @@
 // its framing says; an answer that ends with the connection does not count as complete.
 func (c *caller) exchange(a *Attempt) (status int, complete bool, body string, header http.Header, err error) {
 	target := cmp.Or(c.target, a.ID)
-	request, err := http.NewRequest(http.MethodPost, "http://soak.example/"+string(a.Kind)+"/"+target, strings.NewReader("body of "+target))
+	content := c.body(target)
+	request, err := http.NewRequest(http.MethodPost, "http://soak.example/"+string(a.Kind)+"/"+target, strings.NewReader(content))
 	if err != nil {
 		return 0, false, "", nil, err
 	}
@@ -200,13 +209,14 @@
 	if err := c.conn.SetDeadline(deadline); err != nil {
 		return 0, false, "", nil, err
 	}
-	if err := request.Write(c.conn); err != nil {
-		return 0, false, "", nil, err
+	writeErr := c.write(request, len(content))
+	if writeErr == nil {
+		a.Written = time.Now()
 	}
-	a.Written = time.Now()
+	// A gateway may answer before it has the whole body, and close the connection.
 	response, err := http.ReadResponse(c.reader, request)
 	if err != nil {
-		return 0, false, "", nil, err
+		return 0, false, "", nil, cmp.Or(writeErr, err)
 	}
 	defer response.Body.Close()
 	var text strings.Builder
--- a/bench/internal/soak/crowds.go
+++ b/bench/internal/soak/crowds.go
@@ -1,8 +1,12 @@
 package soak
 
 import (
+	"bytes"
 	"context"
+	"math"
 	"math/rand/v2"
+	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -22,6 +26,8 @@
 	maxCrowdTime = 10 * time.Second
 	// crowdPause is the longest pause of a caller between an answer and the next request.
 	crowdPause = time.Second
+	// bodyPause is the longest pause between the two parts of a body.
+	bodyPause = 100 * time.Millisecond
 	// starvedTime is the longest time for which a gateway is starved. It is stopped for up to
 	// maxStop at a time, well below lossSlack, and runs for starvedRun in between.
 	starvedTime = 10 * time.Second
@@ -33,6 +39,19 @@
 	shortCallTimeout = 700 * time.Millisecond
 )
 
+// Callers of crowds.
+const (
+	// minCrowdBody and maxCrowdBody are the lengths of the shortest and the longest bodies, in bytes. One
+	// of splitBodies is sent in two parts.
+	minCrowdBody = 100
+	maxCrowdBody = 60_000
+	splitBodies  = 3
+	// atOnceParts is the number of parts of a crowd, of which zero to all don't wait for Retry-After.
+	// They are drawn with atOnceStream.
+	atOnceParts  = 4
+	atOnceStream = 1_000_000
+)
+
 // crowdSeries is the number of further series of faults, of crowdFaultKinds only.
 const crowdSeries = 2
 
@@ -81,19 +100,65 @@
 	calling, stop := context.WithTimeout(ctx, minCrowdTime+randomDuration(random, maxCrowdTime-minCrowdTime))
 	defer stop()
 	var group sync.WaitGroup
-	for i := range f.soak.options.Crowds {
-		c := &caller{
-			soak:     f.soak,
-			gateway:  gateway,
-			random:   rand.New(rand.NewPCG(random.Uint64(), uint64(i))),
-			maxPause: crowdPause,
-		}
+	for _, c := range f.drawCrowd(gateway, random) {
 		group.Go(func() { c.run(calling) })
 	}
 	group.Wait()
 	f.soak.logFault("the crowd at %s has ended", f.soak.fleet.gateways[gateway].name)
 }
 
+// drawCrowd returns the callers of a crowd. Some return at once when they are refused, the others after
+// the time in Retry-After.
+func (f *faults) drawCrowd(gateway int, random *rand.Rand) []*caller {
+	seeds := make([]uint64, f.soak.options.Crowds)
+	for i := range seeds {
+		seeds[i] = random.Uint64()
+	}
+	atOnce := rand.New(rand.NewPCG(seeds[0], atOnceStream)).IntN(atOnceParts + 1)
+	f.soak.logFault("%d of %d parts of the crowd don't wait for Retry-After", atOnce, atOnceParts)
+	crowd := make([]*caller, len(seeds))
+	for i, seed := range seeds {
+		crowd[i] = &caller{
+			soak:         f.soak,
+			gateway:      gateway,
+			random:       rand.New(rand.NewPCG(seed, uint64(i))),
+			maxPause:     crowdPause,
+			maxRetryWait: maxCrowdTime,
+			atOnce:       i%atOnceParts < atOnce,
+			maxBody:      maxCrowdBody,
+		}
+	}
+	return crowd
+}
+
+// body returns the body of a request. Its length is drawn if the caller has a maxBody.
+func (c *caller) body(target string) string {
+	text := "body of " + target
+	if c.maxBody == 0 {
+		return text
+	}
+	length := minCrowdBody * math.Pow(float64(c.maxBody)/minCrowdBody, c.random.Float64())
+	return text + strings.Repeat(".", max(int(length)-len(text), 0))
+}
+
+// write writes a request with a body of some length, or its last part after a pause.
+func (c *caller) write(request *http.Request, length int) error {
+	if c.maxBody == 0 || c.random.IntN(splitBodies) > 0 {
+		return request.Write(c.conn)
+	}
+	var whole bytes.Buffer
+	if err := request.Write(&whole); err != nil {
+		return err
+	}
+	last := 1 + c.random.IntN(length)
+	if _, err := c.conn.Write(whole.Next(whole.Len() - last)); err != nil {
+		return err
+	}
+	time.Sleep(randomDuration(c.random, bodyPause))
+	_, err := c.conn.Write(whole.Bytes())
+	return err
+}
+
 // starve leaves a process little processor time: it is stopped again and again, each time so briefly
 // that callers must be answered as at other times.
 func (f *faults) starve(p *process, random *rand.Rand) {
