soak: callers leave a connection that an answer says is closed

With connections kept, callers of the soak sent the next request on one whose answer had said "Connection: close": ReadResponse removes that field.

TestCallersKeepConnections/closed failed before: 16 attempts without an answer.

--- a/bench/internal/soak/caller.go
+++ b/bench/internal/soak/caller.go
@@ -219,6 +219,9 @@
 		return 0, false, "", nil, cmp.Or(writeErr, err)
 	}
 	defer response.Body.Close()
+	if response.Close {
+		response.Header.Set("Connection", "close") // ReadResponse removes it
+	}
 	var text strings.Builder
 	buffer := make([]byte, 4<<10)
 	for {
