--- a/gateway/internal/serve/conn_bound.go
+++ b/gateway/internal/serve/conn_bound.go
@@ -12,7 +12,8 @@
 // them can be given up, or while those that were given up are being closed.
 const overLimitFraction = 0.1
 
-// fullTime is how long the limit counts as reached after a connection found no room.
+// fullTime is how long the limit counts as reached after a connection found another one to give up, or
+// no room.
 const fullTime = time.Second
 
 // beyondBound reports whether more connections of Listener are not closed than allowed; mu must be
@@ -23,6 +24,7 @@
 
 // makeRoom gives up one connection for a new one, added, which may not be open yet; mu must be held.
 func (c *Conns) makeRoom(added net.Conn) {
+	c.fullUntil.Store(time.Now().Add(fullTime).UnixNano())
 	if c.giveUpOne(added) {
 		return
 	}
@@ -40,7 +42,6 @@
 func (c *Conns) admit(t *trackedConn) bool {
 	c.descriptors.Add(1)
 	for !c.takeRoom(t) {
-		c.fullUntil.Store(time.Now().Add(fullTime).UnixNano())
 		if !c.awaitRoom() {
 			t.refuseNew(connlimit.CauseConns)
 			c.closed(t.peer, connlimit.CauseConns)
@@ -98,8 +99,8 @@
 	}
 }
 
-// Full reports whether a connection found no room within fullTime before now. Answers then close theirs: it
-// would be given up for the next caller, and a request that crosses that gets no answer.
+// Full reports whether there were too many connections within fullTime before now. Answers then close theirs:
+// it would be given up for the next caller, and a request that crosses that gets no answer.
 func (c *Conns) Full(now time.Time) bool { return now.UnixNano() < c.fullUntil.Load() }
 
 // refuseNew refuses what has arrived on a connection that nobody reads from yet, and closes it.
--- a/gateway/internal/serve/crowd_limit_test.go
+++ b/gateway/internal/serve/crowd_limit_test.go
@@ -71,6 +71,24 @@
 	is.Equal(conns.Full(time.Now().Add(fullTime)), false)
 }
 
+// TestLimitIsFullAsConnectionsGiveWay guards against requests that get no answer, since their connections are given
+// up for callers beyond the limit that are within the bound on descriptors.
+func TestLimitIsFullAsConnectionsGiveWay(t *testing.T) {
+	is := is.New(t)
+	conns := NewConns(10, noLimit, noLimit)
+	for range 10 {
+		kept := newPipeConn(t, conns)
+		is.True(conns.admit(kept))
+		conns.ConnState(kept, http.StateNew)
+		conns.ConnState(kept, http.StateIdle)
+	}
+	is.Equal(conns.Full(time.Now()), false)
+	next := newPipeConn(t, conns)
+	is.True(conns.admit(next))
+	conns.ConnState(next, http.StateNew)
+	is.True(conns.Full(time.Now()))
+}
+
 // newPipeConn returns a connection of conns that arrives, without a socket.
 func newPipeConn(t *testing.T, conns *Conns) *trackedConn {
 	c, peer := net.Pipe()
