--- a/gateway/internal/serve/conn_bound.go
+++ b/gateway/internal/serve/conn_bound.go
@@ -82,6 +82,11 @@
 	case <-c.room:
 		return true
 	case <-timer.C:
+	}
+	select { // the timer may be seen late
+	case <-c.room:
+		return true
+	default:
 		return false
 	}
 }
--- a/gateway/internal/serve/crowd_limit_test.go
+++ b/gateway/internal/serve/crowd_limit_test.go
@@ -125,3 +125,15 @@
 		is.Equal(len(conns.room), 0)
 	}
 }
+
+// TestRoomIsSeenLate guards against a caller that is refused although a place became free while Accept waited,
+// since it got the processor only after the time to wait.
+func TestRoomIsSeenLate(t *testing.T) {
+	is := is.New(t)
+	conns := NewConns(1, noLimit, noLimit)
+	for range 100 {
+		conns.room <- struct{}{}
+		conns.roomUntil = time.Now().Add(-time.Second)
+		is.True(conns.awaitRoom())
+	}
+}
