--- a/gateway/internal/serve/listener.go
+++ b/gateway/internal/serve/listener.go
@@ -23,7 +23,8 @@
 )
 
 // Accept implements net.Listener. Connections beyond the bound on descriptors wait in the backlog for as
-// long as others are being closed, for roomTime at most, and are then refused at once.
+// long as others are being closed, for roomTime at most, and are then refused at once. As long as more
+// arrive it waits no longer than it refuses.
 func (l trackingListener) Accept() (net.Conn, error) {
 	l.conns.accepting.Lock()
 	defer l.conns.accepting.Unlock()
@@ -33,9 +34,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if now := time.Now(); now.Sub(began) > arrivalPause || l.conns.refusedInTurn == refusalsPerTurn {
-			l.conns.roomUntil, l.conns.refusedInTurn = now.Add(roomTime), 0
-		}
+		l.conns.allowWait(began, time.Now())
 		if t := newTrackedConn(c, l.conns); l.conns.admit(t) {
 			return t, nil
 		}
@@ -43,6 +42,19 @@
 	}
 }
 
+// allowWait sets until when new connections may wait for room, given when Accept of the listener was called and
+// when it returned a connection; accepting must be held.
+func (c *Conns) allowWait(called, returned time.Time) {
+	wait := roomTime
+	if returned.Sub(called) <= arrivalPause {
+		if c.refusedInTurn < refusalsPerTurn {
+			return
+		}
+		wait = max(0, min(wait, returned.Sub(c.roomUntil)))
+	}
+	c.roomUntil, c.refusedInTurn = returned.Add(wait), 0
+}
+
 // Listener returns a listener that accepts from l the connections of a server whose
 // ConnState and ConnContext are those of c.
 func (c *Conns) Listener(l net.Listener) net.Listener {
