--- a/gateway/internal/serve/conn_bound.go
+++ b/gateway/internal/serve/conn_bound.go
@@ -57,6 +57,9 @@
 	c.mu.Lock()
 	if c.beyondBound() {
 		c.makeRoom(t)
+		if len(c.ending) > 0 { // their descriptors may be freed later
+			c.closedAt.Store(time.Now().UnixNano())
+		}
 		c.unlockForNew()
 		c.mu.Lock()
 	}
@@ -70,7 +73,7 @@
 }
 
 // awaitRoom waits until an admitted connection is closed. It reports false if none is until roomUntil, or if
-// none was for roomTime; accepting must be held.
+// none was, or began to be, for roomTime; accepting must be held.
 func (c *Conns) awaitRoom() bool {
 	until := time.Unix(0, c.closedAt.Load()).Add(roomTime)
 	if c.roomUntil.Before(until) {
--- a/gateway/internal/serve/conns.go
+++ b/gateway/internal/serve/conns.go
@@ -39,8 +39,8 @@
 	// refused since; accepting guards them.
 	roomUntil     time.Time
 	refusedInTurn int
-	// room has a value if an admitted connection was closed, and closedAt is the time of the last such close, in
-	// Unix nanoseconds.
+	// room has a value if an admitted connection was closed, and closedAt is the time of the last such close,
+	// or of the last connection that was given up for a new one, in Unix nanoseconds.
 	room     chan struct{}
 	closedAt atomic.Int64
 
--- a/gateway/internal/serve/crowd_limit_test.go
+++ b/gateway/internal/serve/crowd_limit_test.go
@@ -137,3 +137,18 @@
 		is.True(conns.awaitRoom())
 	}
 }
+
+// TestCallerTakesPlaceGivenUpForIt guards against a caller that is refused at the limit of connections although
+// another one was given up for it, whose close takes a moment.
+func TestCallerTakesPlaceGivenUpForIt(t *testing.T) {
+	is := is.New(t)
+	conns := NewConns(1, noLimit, noLimit)
+	for range 2 {
+		reading := newPipeConn(t, conns)
+		is.True(conns.admit(reading))
+		reading.state.Store(connAnswering)
+		reading.bodySince.Store(time.Now().UnixNano())
+	}
+	conns.roomUntil = time.Now().Add(roomTime)
+	is.True(conns.admit(newPipeConn(t, conns)))
+}
