--- a/gateway/internal/serve/conn_bound.go
+++ b/gateway/internal/serve/conn_bound.go
@@ -28,10 +28,16 @@
 	if c.giveUpOne(added) {
 		return
 	}
-	for e := c.idleConns.Front(); e != nil; e = e.Next() { // those that are not of Listener
-		if c.closeIfIdle(e.Value.(idleConn).conn, connlimit.CauseConns) {
-			return
+	for e := c.idleConns.Front(); e != nil; e = e.Next() { // not of Listener, or idle since the last order
+		conn := e.Value.(idleConn).conn
+		if !c.closeIfIdle(conn, connlimit.CauseConns) {
+			continue
 		}
+		if t, ok := conn.(*trackedConn); ok {
+			t.givenUp = true
+			c.closed(t.peer, connlimit.CauseConns)
+		}
+		return
 	}
 }
 
--- a/gateway/internal/serve/crowd_limit_test.go
+++ b/gateway/internal/serve/crowd_limit_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -152,3 +153,21 @@
 	conns.roomUntil = time.Now().Add(roomTime)
 	is.True(conns.admit(newPipeConn(t, conns)))
 }
+
+// TestIdleConnectionIsCountedBetweenOrders guards against connections that are closed at the limit and not counted,
+// since they became idle after the last order.
+func TestIdleConnectionIsCountedBetweenOrders(t *testing.T) {
+	is := is.New(t)
+	conns := NewConns(1, noLimit, noLimit)
+	counted := 0
+	conns.closed = func(netip.Addr, string) { counted++ }
+	kept := newPipeConn(t, conns)
+	is.True(conns.admit(kept))
+	conns.orderedAt = time.Now() // none could be given up
+	conns.ConnState(kept, http.StateIdle)
+	conns.mu.Lock()
+	defer conns.unlock()
+	conns.makeRoom(nil)
+	is.Equal(kept.state.Load(), connClosing)
+	is.Equal(counted, 1)
+}
