--- a/gateway/internal/serve/conn_bound.go
+++ b/gateway/internal/serve/conn_bound.go
@@ -12,7 +12,8 @@
 // them can be given up, or while those that were given up are being closed.
 const overLimitFraction = 0.1
 
-// fullTime is how long the limit counts as reached after a connection found no room.
+// fullTime is how long the limit counts as reached after a connection found another one to give up, or
+// no room.
 const fullTime = time.Second
 
 // beyondBound reports whether more connections of Listener are not closed than allowed; mu must be
@@ -23,13 +24,20 @@
 
 // makeRoom gives up one connection for a new one, added, which may not be open yet; mu must be held.
 func (c *Conns) makeRoom(added net.Conn) {
+	c.fullUntil.Store(time.Now().Add(fullTime).UnixNano())
 	if c.giveUpOne(added) {
 		return
 	}
-	for e := c.idleConns.Front(); e != nil; e = e.Next() { // those that are not of Listener
-		if c.closeIfIdle(e.Value.(idleConn).conn, connlimit.CauseConns) {
-			return
+	for e := c.idleConns.Front(); e != nil; e = e.Next() { // not of Listener, or idle since the last order
+		conn := e.Value.(idleConn).conn
+		if !c.closeIfIdle(conn, connlimit.CauseConns) {
+			continue
 		}
+		if t, ok := conn.(*trackedConn); ok {
+			t.givenUp = true
+			c.closed(t.peer, connlimit.CauseConns)
+		}
+		return
 	}
 }
 
@@ -40,7 +48,6 @@
 func (c *Conns) admit(t *trackedConn) bool {
 	c.descriptors.Add(1)
 	for !c.takeRoom(t) {
-		c.fullUntil.Store(time.Now().Add(fullTime).UnixNano())
 		if !c.awaitRoom() {
 			t.refuseNew(connlimit.CauseConns)
 			c.closed(t.peer, connlimit.CauseConns)
@@ -56,6 +63,9 @@
 	c.mu.Lock()
 	if c.beyondBound() {
 		c.makeRoom(t)
+		if len(c.ending) > 0 { // their descriptors may be freed later
+			c.closedAt.Store(time.Now().UnixNano())
+		}
 		c.unlockForNew()
 		c.mu.Lock()
 	}
@@ -69,7 +79,7 @@
 }
 
 // awaitRoom waits until an admitted connection is closed. It reports false if none is until roomUntil, or if
-// none was for roomTime; accepting must be held.
+// none was, or began to be, for roomTime; accepting must be held.
 func (c *Conns) awaitRoom() bool {
 	until := time.Unix(0, c.closedAt.Load()).Add(roomTime)
 	if c.roomUntil.Before(until) {
@@ -81,6 +91,11 @@
 	case <-c.room:
 		return true
 	case <-timer.C:
+	}
+	select { // the timer may be seen late
+	case <-c.room:
+		return true
+	default:
 		return false
 	}
 }
@@ -98,8 +113,8 @@
 	}
 }
 
-// Full reports whether a connection found no room within fullTime before now. Answers then close theirs: it
-// would be given up for the next caller, and a request that crosses that gets no answer.
+// Full reports whether there were too many connections within fullTime before now. Answers then close theirs:
+// it would be given up for the next caller, and a request that crosses that gets no answer.
 func (c *Conns) Full(now time.Time) bool { return now.UnixNano() < c.fullUntil.Load() }
 
 // refuseNew refuses what has arrived on a connection that nobody reads from yet, and closes it.
--- a/gateway/internal/serve/crowd_limit_test.go
+++ b/gateway/internal/serve/crowd_limit_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -71,6 +72,24 @@
 	is.Equal(conns.Full(time.Now().Add(fullTime)), false)
 }
 
+// TestLimitIsFullAsConnectionsGiveWay guards against requests that get no answer, since their connections are given
+// up for callers beyond the limit that are within the bound on descriptors.
+func TestLimitIsFullAsConnectionsGiveWay(t *testing.T) {
+	is := is.New(t)
+	conns := NewConns(10, noLimit, noLimit)
+	for range 10 {
+		kept := newPipeConn(t, conns)
+		is.True(conns.admit(kept))
+		conns.ConnState(kept, http.StateNew)
+		conns.ConnState(kept, http.StateIdle)
+	}
+	is.Equal(conns.Full(time.Now()), false)
+	next := newPipeConn(t, conns)
+	is.True(conns.admit(next))
+	conns.ConnState(next, http.StateNew)
+	is.True(conns.Full(time.Now()))
+}
+
 // newPipeConn returns a connection of conns that arrives, without a socket.
 func newPipeConn(t *testing.T, conns *Conns) *trackedConn {
 	c, peer := net.Pipe()
@@ -107,3 +126,48 @@
 		is.Equal(len(conns.room), 0)
 	}
 }
+
+// TestRoomIsSeenLate guards against a caller that is refused although a place became free while Accept waited,
+// since it got the processor only after the time to wait.
+func TestRoomIsSeenLate(t *testing.T) {
+	is := is.New(t)
+	conns := NewConns(1, noLimit, noLimit)
+	for range 100 {
+		conns.room <- struct{}{}
+		conns.roomUntil = time.Now().Add(-time.Second)
+		is.True(conns.awaitRoom())
+	}
+}
+
+// TestCallerTakesPlaceGivenUpForIt guards against a caller that is refused at the limit of connections although
+// another one was given up for it, whose close takes a moment.
+func TestCallerTakesPlaceGivenUpForIt(t *testing.T) {
+	is := is.New(t)
+	conns := NewConns(1, noLimit, noLimit)
+	for range 2 {
+		reading := newPipeConn(t, conns)
+		is.True(conns.admit(reading))
+		reading.state.Store(connAnswering)
+		reading.bodySince.Store(time.Now().UnixNano())
+	}
+	conns.roomUntil = time.Now().Add(roomTime)
+	is.True(conns.admit(newPipeConn(t, conns)))
+}
+
+// TestIdleConnectionIsCountedBetweenOrders guards against connections that are closed at the limit and not counted,
+// since they became idle after the last order.
+func TestIdleConnectionIsCountedBetweenOrders(t *testing.T) {
+	is := is.New(t)
+	conns := NewConns(1, noLimit, noLimit)
+	counted := 0
+	conns.closed = func(netip.Addr, string) { counted++ }
+	kept := newPipeConn(t, conns)
+	is.True(conns.admit(kept))
+	conns.orderedAt = time.Now() // none could be given up
+	conns.ConnState(kept, http.StateIdle)
+	conns.mu.Lock()
+	defer conns.unlock()
+	conns.makeRoom(nil)
+	is.Equal(kept.state.Load(), connClosing)
+	is.Equal(counted, 1)
+}
