--- a/fleet/connlimit/give_up.go
+++ b/fleet/connlimit/give_up.go
@@ -41,10 +41,8 @@
 // call, and new connections wait meanwhile.
 const maxLooks = 8
 
-// giveUpFirst gives up connections in the order of what they hold, until need is freed, and reports
-// whether it was; mu must be held. It is done for a connection of the peer.
-func (l *Listener) giveUpFirst(cause string, peer netip.Addr, held func(*conn) int64, need int64) bool {
-	now := time.Now()
+// holders returns the open connections and what they hold; mu must be held.
+func (l *Listener) holders(now time.Time, held func(*conn) int64) ([]*conn, []Holder) {
 	conns := make([]*conn, 0, len(l.open))
 	holders := make([]Holder, 0, len(l.open))
 	for _, c := range l.open {
@@ -61,19 +59,26 @@
 			Since: since,
 		})
 	}
+	return conns, holders
+}
+
+// giveUpBytes gives up connections that hold n bytes together, in the order of what held returns, for a
+// connection of the peer. It reports whether there were enough; mu must be held.
+func (l *Listener) giveUpBytes(peer netip.Addr, held func(*conn) int64, n int64) bool {
+	conns, holders := l.holders(time.Now(), held)
 	looks := maxLooks
 	for _, i := range Order(holders) {
-		if need <= 0 || looks == 0 {
+		if n <= 0 || looks == 0 {
 			break
 		}
-		if !l.giveUp(conns[i], holders[i].Phase, cause, peer) {
+		if !l.giveUp(conns[i], holders[i].Phase, CauseMemory, peer) {
 			looks--
 			continue
 		}
-		need -= holders[i].Held
-		l.closed(conns[i].peer, cause)
+		n -= holders[i].Held
+		l.closed(conns[i].peer, CauseMemory)
 	}
-	return need <= 0
+	return n <= 0
 }
 
 // giveUp gives up a connection in a phase for one of the peer, unless it has left the phase, and
--- a/fleet/connlimit/give_up_test.go
+++ b/fleet/connlimit/give_up_test.go
@@ -255,7 +255,9 @@
 	caller := s.dial(t, crowdHost, "")
 	c := s.accept(t).(*conn)
 	l.mu.Lock()
-	l.giveUpFirst(CauseConns, c.peer, func(*conn) int64 { return 1 }, 1)
+	l.giveUpOne(&conn{
+		peer: c.peer,
+	})
 	l.unlock()
 	_ = caller.SetReadDeadline(time.Now().Add(10 * time.Second))
 	received, err := io.ReadAll(caller)
@@ -383,7 +385,10 @@
 	giveUp := func() bool {
 		l.mu.Lock()
 		defer l.unlock()
-		return l.giveUpFirst(CauseConns, c.peer, func(*conn) int64 { return 1 }, 1)
+		l.orderedAt = time.Time{}
+		return l.giveUpOne(&conn{
+			peer: c.peer,
+		})
 	}
 	is.Equal(giveUp(), false) // nothing is written yet
 	c.writeSince.Store(time.Now().Add(-2 * stallTime).UnixNano())
--- a/fleet/connlimit/held.go
+++ b/fleet/connlimit/held.go
@@ -27,7 +27,7 @@
 	}
 	wanted := c.held.Add(n)
 	l.mu.Lock()
-	enough := l.giveUpFirst(CauseMemory, c.peer, func(o *conn) int64 {
+	enough := l.giveUpBytes(c.peer, func(o *conn) int64 {
 		if o == c || o.peer == c.peer && o.held.Load() <= wanted {
 			return 0
 		}
--- a/fleet/connlimit/listener.go
+++ b/fleet/connlimit/listener.go
@@ -39,6 +39,11 @@
 	open map[net.Conn]*conn // by what Accept returned
 	// ending are connections that were ended under mu and have to be closed.
 	ending []*conn
+	// toGiveUp is the rest of the order in which connections are given up for new ones, orderedAt is when
+	// it was made, and gaveUp is true if one of it was given up.
+	toGiveUp  []ordered
+	orderedAt time.Time
+	gaveUp    bool
 }
 
 // Causes for which a connection is closed.
@@ -111,12 +116,7 @@
 	l.mu.Lock()
 	l.open[returned] = c
 	if l.held.Add(1) > int64(l.limits.Conns) {
-		l.giveUpFirst(CauseConns, c.peer, func(o *conn) int64 {
-			if o == c {
-				return 0
-			}
-			return 1
-		}, 1)
+		l.giveUpOne(c)
 	}
 	l.unlockForNew()
 	l.mu.Lock()
