--- a/fleet/connlimit/conn.go
+++ b/fleet/connlimit/conn.go
@@ -158,10 +158,10 @@
 	return n, err
 }
 
-// refuse ends the connection. If anything has arrived, it is refused at once.
+// refuse ends the connection and refuses the request that has arrived on it or is about to.
 func (c *conn) refuse(cause string) {
 	c.reader.Store(connEnded)
-	if unread, _ := c.socket.Peek(); !c.tls && (unread || c.partial) {
+	if !c.tls {
 		c.socket.Send(c.listener.refusals[cause])
 	}
 	_ = c.CloseWrite() // fails only if the connection has ended already
