--- a/gateway/internal/serve/conn_bound.go
+++ b/gateway/internal/serve/conn_bound.go
@@ -25,9 +25,13 @@
 // makeRoom gives up one connection for a new one, added, which may not be open yet; mu must be held.
 func (c *Conns) makeRoom(added net.Conn) {
 	c.fullUntil.Store(time.Now().Add(fullTime).UnixNano())
-	if c.giveUpOne(added) {
-		return
+	if !c.giveUpOne(added) {
+		c.makeRoomOfIdle()
 	}
+}
+
+// makeRoomOfIdle gives up the connection that is idle for longest; mu must be held.
+func (c *Conns) makeRoomOfIdle() {
 	for e := c.idleConns.Front(); e != nil; e = e.Next() { // not of Listener, or idle since the last order
 		conn := e.Value.(idleConn).conn
 		if !c.closeIfIdle(conn, connlimit.CauseConns) {
@@ -47,7 +51,8 @@
 // held.
 func (c *Conns) admit(t *trackedConn) bool {
 	c.descriptors.Add(1)
-	for !c.takeRoom(t) {
+	mayWait := time.Now().Before(c.roomUntil)
+	for first := true; !c.takeRoom(t, first && mayWait); first = false {
 		if !c.awaitRoom() {
 			t.refuseNew(connlimit.CauseConns)
 			c.closed(t.peer, connlimit.CauseConns)
@@ -58,11 +63,16 @@
 }
 
 // takeRoom reports whether a new connection keeps the bound on descriptors, for which it may give up
-// another one. It is then open.
-func (c *Conns) takeRoom(t *trackedConn) bool {
+// an idle one or, if it may give up any, another one whose descriptor may be freed later. It is then open.
+func (c *Conns) takeRoom(t *trackedConn, giveUpAny bool) bool {
 	c.mu.Lock()
 	if c.beyondBound() {
-		c.makeRoom(t)
+		c.fullUntil.Store(time.Now().Add(fullTime).UnixNano())
+		if giveUpAny {
+			c.makeRoom(t)
+		} else {
+			c.makeRoomOfIdle()
+		}
 		if len(c.ending) > 0 { // their descriptors may be freed later
 			c.closedAt.Store(time.Now().UnixNano())
 		}
@@ -85,7 +95,7 @@
 	if c.roomUntil.Before(until) {
 		until = c.roomUntil
 	}
-	timer := time.NewTimer(time.Until(until))
+	timer := time.NewTimer(min(time.Until(until), roomTime)) // the clock may be set back
 	defer timer.Stop()
 	select {
 	case <-c.room:
@@ -115,7 +125,10 @@
 
 // Full reports whether there were too many connections within fullTime before now. Answers then close theirs:
 // it would be given up for the next caller, and a request that crosses that gets no answer.
-func (c *Conns) Full(now time.Time) bool { return now.UnixNano() < c.fullUntil.Load() }
+func (c *Conns) Full(now time.Time) bool {
+	left := c.fullUntil.Load() - now.UnixNano()
+	return 0 < left && left <= int64(fullTime) // the clock may be set back
+}
 
 // refuseNew refuses what has arrived on a connection that nobody reads from yet, and closes it.
 func (t *trackedConn) refuseNew(cause string) {
