--- a/fleet/connlimit/conn.go
+++ b/fleet/connlimit/conn.go
@@ -64,8 +64,8 @@
 	// swap it, so that nothing is read that would have no answer.
 	reader atomic.Int32
 	phase  atomic.Int32
-	// since is when the connection was accepted or became idle, and writeSince when a write began, zero
-	// while there is none, in Unix nanoseconds.
+	// since is when the connection was accepted or became idle, and writeSince when a write began, in Unix
+	// nanoseconds; zero between writes.
 	since, writeSince atomic.Int64
 	closing           sync.Once
 	closeError        error
@@ -84,8 +84,8 @@
 	charged int64
 }
 
-// Read implements net.Conn. It reserves the memory of a head as it arrives; if there is none, the
-// request is refused.
+// Read implements net.Conn. It reserves the memory of a head as it arrives; without memory the request
+// is refused.
 func (c *conn) Read(p []byte) (int, error) {
 	if !c.await(len(p)) {
 		return 0, errClosed
--- a/gateway/internal/serve/handler.go
+++ b/gateway/internal/serve/handler.go
@@ -313,7 +313,7 @@
 	// sending from the moment at which the request is sent until the attempt has ended.
 	mayHaveRun bool
 	sending    bool
-	// unreported identifies the placement whose outcome has not been reported; zero if there is none.
+	// unreported identifies the placement whose outcome has not been reported; zero if all are reported.
 	unreported uint64
 	// retryCounted is true if the retry budget was already charged for the next attempt.
 	retryCounted bool
