--- a/gateway/internal/serve/crowded_gateway_test.go
+++ b/gateway/internal/serve/crowded_gateway_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -24,10 +22,7 @@
 	"baobabpaddle/fleet/configuration"
 	"baobabpaddle/fleet/dispatch"
 	"baobabpaddle/fleet/steady"
-	"baobabpaddle/fleet/telemetry"
 	"baobabpaddle/gateway/internal/controller"
-	"baobabpaddle/gateway/internal/upstream"
-	"baobabpaddle/platform"
 )
 
 // crowdedVariable is set in the process of a crowded gateway to the address of its upstream.
@@ -104,38 +99,13 @@
 	if err != nil {
 		return err
 	}
-	protocol := platform.Headers{}
-	client := upstream.New(testUpstreamLimits, func(status int, h http.Header) string { return protocol.ReadReply(status, h).ID })
 	limits := testLimits
 	limits.TotalBodyBytes = 64 << 20
-	handler := New(Settings{
-		MaxConns:     starvedMaxOpen,
-		Limits:       limits,
-		UnreadyDelay: testUnreadyDelay,
-		Retry: RetrySettings{
-			Ratio:  0.2,
-			Slack:  20,
-			Window: 10 * time.Second,
-		},
-	}, scheduler, client, protocol, telemetry.NewMetrics(), slog.New(slog.DiscardHandler))
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	conns := handler.Conns()
-	server := &http.Server{
-		Handler:     handler,
-		ConnState:   conns.ConnState,
-		ConnContext: conns.ConnContext,
-	}
-	go server.Serve(conns.Listener(l))
-	go conns.Run(context.Background())
-	go handler.Lag().Run(context.Background())
 	go change()
-	useProcessor(busyGoroutines)
-	fmt.Println(l.Addr())
-	_, _ = io.Copy(io.Discard, os.Stdin)
-	return nil
+	return serveBusy(scheduler, Settings{
+		MaxConns: starvedMaxOpen,
+		Limits:   limits,
+	}, busyGoroutines)
 }
 
 // crowd is what the callers of a crowded gateway got.
--- a/gateway/internal/serve/left_test.go
+++ b/gateway/internal/serve/left_test.go
@@ -62,18 +62,24 @@
 		},
 		order: []string{"a"},
 	}
+	return serveBusy(scheduler, Settings{
+		MaxConns: starvedGatewayConns,
+		Limits:   testLimits,
+	}, gatewayBusyGoroutines)
+}
+
+// serveBusy is a gateway on the only processor, which goroutines use, too, until the standard input ends. It prints
+// its address.
+func serveBusy(scheduler Scheduler, settings Settings, goroutines int) error {
+	settings.UnreadyDelay = testUnreadyDelay
+	settings.Retry = RetrySettings{
+		Ratio:  0.2,
+		Slack:  20,
+		Window: 10 * time.Second,
+	}
 	protocol := platform.Headers{}
 	client := upstream.New(testUpstreamLimits, func(status int, h http.Header) string { return protocol.ReadReply(status, h).ID })
-	handler := New(Settings{
-		MaxConns:     starvedGatewayConns,
-		Limits:       testLimits,
-		UnreadyDelay: testUnreadyDelay,
-		Retry: RetrySettings{
-			Ratio:  0.2,
-			Slack:  20,
-			Window: 10 * time.Second,
-		},
-	}, scheduler, client, protocol, telemetry.NewMetrics(), slog.New(slog.DiscardHandler))
+	handler := New(settings, scheduler, client, protocol, telemetry.NewMetrics(), slog.New(slog.DiscardHandler))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -87,7 +93,7 @@
 	go server.Serve(conns.Listener(l))
 	go conns.Run(context.Background())
 	go handler.Lag().Run(context.Background())
-	useProcessor(gatewayBusyGoroutines)
+	useProcessor(goroutines)
 	fmt.Println(l.Addr())
 	_, _ = io.Copy(io.Discard, os.Stdin)
 	return nil
